Skeleton: build, lint, shared types, ports, fiber loop

A first version of IoLoop::Run returned before spawned fibers had ended; the test of Stop during a sleep showed it, and Run now waits for them.

--- /dev/null
+++ b/idl/peer.thrift
@@ -0,0 +1,57 @@
+/** Messages between nodes on the path of a call. Fields are only ever added. */
+namespace cpp tanagerledge.wire
+
+/** Opens each connection, both ways. A mismatch closes it. */
+struct Hello {
+  1: string fleet
+  2: i32 version
+  3: string node
+  4: string zone
+  5: i64 incarnation
+}
+
+struct Header {
+  1: string name
+  2: string value
+}
+
+/** What the node beside the back end knows of its load. */
+struct LoadReport {
+  1: i32 limit
+  2: i32 running
+  3: i32 queued
+  /** Ranks worth less than this are refused now. */
+  4: i32 admission_level
+  5: i64 service_time_us
+}
+
+struct CallRequest {
+  1: string service_name
+  2: string rank
+  3: string customer
+  4: string method
+  5: string target
+  6: list<Header> headers
+  7: binary body
+  /** Time left when the message was sent, so that clocks need not agree. */
+  8: i64 remaining_us
+  9: bool idempotent
+  10: string idempotency_key
+  11: i64 release
+  12: i32 depth
+  13: i64 write_mark
+  14: i64 fingerprint
+  15: bool suspect
+}
+
+struct CallReply {
+  1: i32 outcome
+  2: i32 reason
+  3: string detail
+  4: i32 status
+  5: list<Header> headers
+  6: binary body
+  7: optional LoadReport load
+  8: i64 write_mark
+  9: i64 execution_us
+}
--- /dev/null
+++ b/src/adapters/codec.cc
@@ -0,0 +1,1 @@
+#include "src/adapters/codec.h"
--- /dev/null
+++ b/src/adapters/codec.h
@@ -0,0 +1,52 @@
+// Thrift messages to bytes and back, in the compact protocol.
+
+#ifndef TANAGERLEDGE_SRC_ADAPTERS_CODEC_H_
+#define TANAGERLEDGE_SRC_ADAPTERS_CODEC_H_
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <exception>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace tanagerledge {
+
+struct DecodeError {
+  std::string text;
+};
+
+// Encodes a Thrift struct.
+template <typename Message>
+std::string Encode(const Message& message) {
+  using apache::thrift::transport::TMemoryBuffer;
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  message.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+// Decodes a Thrift struct from bytes that nobody vouches for.
+template <typename Message>
+tl::expected<Message, DecodeError> Decode(std::string_view bytes) {
+  using apache::thrift::transport::TMemoryBuffer;
+  auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
+  auto buffer = std::make_shared<TMemoryBuffer>(
+      data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
+  const auto limit = static_cast<std::int32_t>(bytes.size());
+  apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(
+      buffer, limit, limit);
+  Message message;
+  try {
+    message.read(&protocol);
+  } catch (const std::exception& error) {
+    return tl::unexpected(DecodeError{error.what()});
+  }
+  return message;
+}
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_SRC_ADAPTERS_CODEC_H_
--- /dev/null
+++ b/src/adapters/fiber_io.cc
@@ -0,0 +1,120 @@
+#include "src/adapters/fiber_io.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/fiber/scheduler.hpp>
+#include <mutex>
+
+namespace tanagerledge {
+namespace {
+
+// Ready fibers run first in, first out; when none is ready the thread waits in
+// the io_context. Handlers run only in the dispatcher's context: a handler that
+// woke the fiber which is just being switched out would corrupt it.
+class IoAlgorithm : public boost::fibers::algo::algorithm {
+ public:
+  explicit IoAlgorithm(boost::asio::io_context& io_context) : io(io_context) {}
+
+  void awakened(boost::fibers::context* context) noexcept override {
+    context->ready_link(this->ready);
+  }
+
+  boost::fibers::context* pick_next() noexcept override {
+    this->PollWhenBusy();
+    if (this->ready.empty()) {
+      return nullptr;
+    }
+    boost::fibers::context* const next = &this->ready.front();
+    this->ready.pop_front();
+    return next;
+  }
+
+  bool has_ready_fibers() const noexcept override {
+    return !this->ready.empty();
+  }
+
+  void suspend_until(
+      const std::chrono::steady_clock::time_point& until) noexcept override {
+    if (until == std::chrono::steady_clock::time_point::max()) {
+      this->io.run_one();
+    } else {
+      this->io.run_one_until(until);
+    }
+    this->io.poll();
+  }
+
+  void notify() noexcept override {
+    boost::asio::post(this->io, [] {});
+  }
+
+ private:
+  // Fibers that are always ready would keep sockets waiting for ever.
+  void PollWhenBusy() noexcept {
+    constexpr int kTurnsPerPoll = 4;
+    const bool in_dispatcher = boost::fibers::context::active()->is_context(
+        boost::fibers::type::dispatcher_context);
+    if (!in_dispatcher || this->ready.empty()) {
+      return;
+    }
+    if (++this->turns % kTurnsPerPoll == 0) {
+      this->io.poll();
+    }
+  }
+
+  boost::asio::io_context& io;
+  boost::fibers::scheduler::ready_queue_type ready;
+  unsigned turns = 0;
+};
+
+}  // namespace
+
+IoLoop::IoLoop() : io(1), work(boost::asio::make_work_guard(this->io)) {}
+
+void IoLoop::Run() {
+  boost::fibers::use_scheduling_algorithm<IoAlgorithm>(this->io);
+  std::unique_lock lock(this->mutex);
+  this->stop_signal.wait(
+      lock, [this] { return this->stopped.load() && this->live_fibers == 0; });
+}
+
+void IoLoop::Spawn(std::function<void()> work_function) {
+  boost::asio::post(this->io, [this, run = std::move(work_function)]() mutable {
+    ++this->live_fibers;
+    boost::fibers::fiber(boost::fibers::launch::post, [this,
+                                                       run = std::move(run)] {
+      run();
+      this->FiberEnded();
+    }).detach();
+  });
+}
+
+void IoLoop::FiberEnded() {
+  const std::scoped_lock lock(this->mutex);
+  --this->live_fibers;
+  if (this->live_fibers == 0 && this->stopped.load()) {
+    this->stop_signal.notify_all();
+  }
+}
+
+void IoLoop::Post(std::function<void()> work_function) {
+  boost::asio::post(this->io, std::move(work_function));
+}
+
+void IoLoop::Stop() {
+  this->stopped.store(true);
+  this->Spawn([this] {
+    const std::scoped_lock lock(this->mutex);
+    this->stop_signal.notify_all();
+  });
+}
+
+bool IoLoop::SleepFor(std::chrono::nanoseconds time) {
+  std::unique_lock lock(this->mutex);
+  this->stop_signal.wait_for(lock, time,
+                             [this] { return this->stopped.load(); });
+  return !this->stopped.load();
+}
+
+}  // namespace tanagerledge
