--- /dev/null
+++ b/include/tanagerledge/member.h
@@ -0,0 +1,28 @@
+// One node as the others know it.
+
+#ifndef TANAGERLEDGE_MEMBER_H_
+#define TANAGERLEDGE_MEMBER_H_
+
+#include <optional>
+
+#include "tanagerledge/snapshot.h"
+#include "tanagerledge/types.h"
+
+namespace tanagerledge {
+
+enum class MemberState { kAlive = 0, kSuspect = 1, kDead = 2, kLeft = 3 };
+
+struct Member {
+  NodeId node;
+  Zone zone;
+  Incarnation incarnation;
+  MemberState state = MemberState::kAlive;
+  // What the node says of the back end beside it, once one announced itself.
+  std::optional<Endpoint> endpoint;
+  // The newest release that the node said it has in force.
+  ReleaseNumber release;
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_MEMBER_H_
