--- a/src/adapters/fiber_io.cc
+++ b/src/adapters/fiber_io.cc
@@ -5,6 +5,7 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/fiber/scheduler.hpp>
+#include <memory>
 #include <mutex>
 
 namespace tanagerledge {
@@ -70,7 +71,12 @@
 
 }  // namespace
 
-IoLoop::IoLoop() : io(1), work(boost::asio::make_work_guard(this->io)) {}
+constexpr std::size_t kFiberStackBytes = 128 * 1024;
+
+IoLoop::IoLoop()
+    : io(1),
+      work(boost::asio::make_work_guard(this->io)),
+      stacks(kFiberStackBytes) {}
 
 void IoLoop::Run() {
   boost::fibers::use_scheduling_algorithm<IoAlgorithm>(this->io);
@@ -81,15 +87,21 @@
 
 void IoLoop::Spawn(std::function<void()> work_function) {
   boost::asio::post(this->io, [this, run = std::move(work_function)]() mutable {
-    ++this->live_fibers;
-    boost::fibers::fiber(boost::fibers::launch::post, [this,
-                                                       run = std::move(run)] {
-      run();
-      this->FiberEnded();
-    }).detach();
+    this->SpawnHere(std::move(run));
   });
 }
 
+void IoLoop::SpawnHere(std::function<void()> work_function) {
+  ++this->live_fibers;
+  boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
+                       this->stacks,
+                       [this, run = std::move(work_function)] {
+                         run();
+                         this->FiberEnded();
+                       })
+      .detach();
+}
+
 void IoLoop::FiberEnded() {
   const std::scoped_lock lock(this->mutex);
   --this->live_fibers;
--- a/src/adapters/fiber_io.h
+++ b/src/adapters/fiber_io.h
@@ -22,6 +22,7 @@
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/context.hpp>
 #include <boost/fiber/mutex.hpp>
+#include <boost/fiber/pooled_fixedsize_stack.hpp>
 #include <boost/system/error_code.hpp>
 #include <chrono>
 #include <functional>
@@ -45,6 +46,9 @@
   // Starts a fiber on the loop's thread. From any thread.
   void Spawn(std::function<void()> work);
 
+  // The same from the loop's own thread, without the detour by a queue.
+  void SpawnHere(std::function<void()> work);
+
   // Runs a short function on the loop's thread, outside any fiber: it must not
   // wait. From any thread.
   void Post(std::function<void()> work);
@@ -61,6 +65,8 @@
 
   boost::asio::io_context io;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+  // Stacks are reused: a fiber per call must not map memory per call.
+  boost::fibers::pooled_fixedsize_stack stacks;
   std::atomic<bool> stopped{false};
   int live_fibers = 0;  // Only touched on the loop's thread.
   boost::fibers::mutex mutex;
--- /dev/null
+++ b/src/adapters/http_server.cc
@@ -0,0 +1,141 @@
+#include "src/adapters/http_server.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <optional>
+
+namespace tanagerledge {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+struct HttpServer::Connection {
+  explicit Connection(tcp::socket socket) : stream(std::move(socket)) {}
+
+  void Close() {
+    error_code ignored;
+    this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    this->stream.close();
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  bool idle = true;  // Between requests: may be closed without loss.
+};
+
+HttpServer::HttpServer(IoLoop& io_loop,
+                       Handler request_handler,
+                       HttpLimits http_limits)
+    : loop(io_loop), handler(std::move(request_handler)), limits(http_limits) {}
+
+HttpServer::~HttpServer() = default;
+
+tl::expected<tcp::endpoint, AddressError> HttpServer::Accept(
+    const tcp::endpoint& endpoint) {
+  auto listening = Listen(this->loop.context(), endpoint);
+  if (!listening) {
+    return tl::unexpected(listening.error());
+  }
+  this->acceptor = std::make_unique<tcp::acceptor>(std::move(*listening));
+  this->loop.Spawn([this] {
+    while (!this->draining) {
+      tcp::socket socket(this->loop.context());
+      const error_code error = AwaitError([&](auto done) {
+        this->acceptor->async_accept(socket, std::move(done));
+      });
+      if (error || this->connections.size() >= this->limits.max_connections) {
+        // Out of descriptors or full: look again soon, not in a tight loop.
+        this->loop.SleepFor(std::chrono::milliseconds(error ? 10 : 0));
+        continue;
+      }
+      auto connection = std::make_shared<Connection>(std::move(socket));
+      this->connections.insert(connection);
+      this->loop.SpawnHere([this, connection] { this->Serve(connection); });
+    }
+  });
+  return this->acceptor->local_endpoint();
+}
+
+void HttpServer::Drain() {
+  this->draining = true;
+  if (this->acceptor) {
+    error_code ignored;
+    this->acceptor->close(ignored);
+  }
+  for (const auto& connection : this->connections) {
+    if (connection->idle) {
+      connection->Close();
+    }
+  }
+}
+
+void HttpServer::Close() {
+  this->Drain();
+  for (const auto& connection : this->connections) {
+    connection->Close();
+  }
+}
+
+void HttpServer::Serve(const std::shared_ptr<Connection>& connection) {
+  error_code ignored;
+  connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+  while (this->ServeOne(*connection)) {
+  }
+  connection->Close();
+  this->connections.erase(connection);
+}
+
+// One request and its answer; false when the connection is to end.
+bool HttpServer::ServeOne(Connection& connection) {
+  connection.idle = true;
+  if (this->draining) {
+    return false;
+  }
+  http::request_parser<http::string_body> parser;
+  parser.body_limit(this->limits.max_body_bytes);
+  parser.header_limit(this->limits.max_header_bytes);
+  connection.stream.expires_after(this->limits.idle_timeout);
+  const auto header = Await<std::size_t>([&](auto done) {
+    http::async_read_header(connection.stream, connection.buffer, parser,
+                            std::move(done));
+  });
+  if (!header) {
+    return false;
+  }
+  connection.idle = false;
+  connection.stream.expires_after(this->limits.read_timeout);
+  const auto body = Await<std::size_t>([&](auto done) {
+    http::async_read(connection.stream, connection.buffer, parser,
+                     std::move(done));
+  });
+  if (!body) {
+    return false;
+  }
+  connection.stream.expires_never();
+  HttpResponse response = this->handler(parser.get());
+  response.keep_alive(parser.get().keep_alive() && !this->draining);
+  response.prepare_payload();
+  connection.stream.expires_after(this->limits.read_timeout);
+  const auto written = Await<std::size_t>([&](auto done) {
+    http::async_write(connection.stream, response, std::move(done));
+  });
+  return written && response.keep_alive();
+}
+
+HttpResponse MakeResponse(const HttpRequest& request,
+                          unsigned status,
+                          std::string_view content_type,
+                          std::string body) {
+  HttpResponse response(static_cast<http::status>(status), request.version());
+  response.set(http::field::content_type,
+               beast::string_view(content_type.data(), content_type.size()));
+  response.body() = std::move(body);
+  return response;
+}
+
+}  // namespace tanagerledge
--- /dev/null
+++ b/src/adapters/http_server.h
@@ -0,0 +1,74 @@
+// A small HTTP/1.1 server on Beast: a fiber for each connection, keep-alive.
+
+#ifndef TANAGERLEDGE_SRC_ADAPTERS_HTTP_SERVER_H_
+#define TANAGERLEDGE_SRC_ADAPTERS_HTTP_SERVER_H_
+
+#include "src/adapters/fiber_io.h"
+#include "src/adapters/net.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace tanagerledge {
+
+using HttpRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+// Limits on what one caller may hold.
+struct HttpLimits {
+  std::size_t max_body_bytes = 1024 * 1024;
+  std::uint32_t max_header_bytes = 16 * 1024;
+  std::chrono::seconds read_timeout{10};
+  std::chrono::seconds idle_timeout{60};
+  std::size_t max_connections = 4096;
+};
+
+class HttpServer {
+ public:
+  // Answers one request; runs in the connection's fiber and may wait.
+  using Handler = std::function<HttpResponse(const HttpRequest&)>;
+
+  HttpServer(IoLoop& loop, Handler handler, HttpLimits limits = {});
+  ~HttpServer();
+
+  // Accepts on the address; several loops may share it. Returns what was bound.
+  tl::expected<boost::asio::ip::tcp::endpoint, AddressError> Accept(
+      const boost::asio::ip::tcp::endpoint& endpoint);
+
+  // No new connections; each open one ends after the request in progress.
+  void Drain();
+
+  // Cuts what is left.
+  void Close();
+
+  std::size_t open_connections() const { return this->connections.size(); }
+
+ private:
+  struct Connection;
+
+  void Serve(const std::shared_ptr<Connection>& connection);
+  bool ServeOne(Connection& connection);
+
+  IoLoop& loop;
+  Handler handler;
+  HttpLimits limits;
+  std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
+  std::set<std::shared_ptr<Connection>> connections;
+  bool draining = false;
+};
+
+// A response with the usual fields set.
+HttpResponse MakeResponse(const HttpRequest& request,
+                          unsigned status,
+                          std::string_view content_type,
+                          std::string body);
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_SRC_ADAPTERS_HTTP_SERVER_H_
--- /dev/null
+++ b/src/adapters/logging.h
@@ -0,0 +1,42 @@
+// Structured logs on Boost.Log: short sentences, a fixed prefix for each part.
+//
+//   LOG_PART(Part::kRelease, info) << "Release 7 is in force.";
+
+#ifndef TANAGERLEDGE_SRC_ADAPTERS_LOGGING_H_
+#define TANAGERLEDGE_SRC_ADAPTERS_LOGGING_H_
+
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/trivial.hpp>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace tanagerledge {
+
+enum class Part {
+  kNode,
+  kRelease,
+  kMembership,
+  kCall,
+  kOnce,
+  kLog,
+  kBackEnd,
+  kAudit,
+};
+
+std::string_view PrefixOf(Part part);
+
+struct LoggingError {
+  std::string text;
+};
+
+// Sets the least severity that is written: trace, debug, info, warning, error
+// or off. Lines go to standard error: `time severity [prefix] sentence`.
+tl::expected<void, LoggingError> StartLogging(std::string_view level);
+
+}  // namespace tanagerledge
+
+#define LOG_PART(part, severity) \
+  BOOST_LOG_TRIVIAL(severity) << ::tanagerledge::PrefixOf(part)
+
+#endif  // TANAGERLEDGE_SRC_ADAPTERS_LOGGING_H_
--- /dev/null
+++ b/src/adapters/settings.h
@@ -0,0 +1,64 @@
+// The settings of one node, from an INI text.
+//
+// Every key is checked; all faults come at once with their lines, and a key or
+// section that is not known is a fault.
+
+#ifndef TANAGERLEDGE_SRC_ADAPTERS_SETTINGS_H_
+#define TANAGERLEDGE_SRC_ADAPTERS_SETTINGS_H_
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "tanagerledge/ini.h"
+#include "tanagerledge/types.h"
+
+namespace tanagerledge {
+
+struct Settings {
+  // [node]
+  std::string fleet;
+  NodeId address;  // Where peers reach this node: ip:port.
+  Zone zone;
+  int workers = 2;  // Threads on the path of a call.
+  std::vector<NodeId> seeds;
+
+  // [front]
+  std::string front_address;  // Where callers come in: ip:port.
+
+  // [admin]
+  std::string admin_address;  // Back end, operators and metrics: ip:port.
+
+  // [log]
+  std::string log_address;  // The platform's log: ip:port.
+
+  // [logging]
+  std::string logging_level = "info";
+
+  // [membership]
+  std::chrono::milliseconds heartbeat_period{1000};
+
+  // [shutdown]
+  std::chrono::milliseconds drain_timeout{10000};
+
+  // [delays]: zone = time. Added to frames sent there; experiments only.
+  std::map<Zone, std::chrono::microseconds> delays;
+};
+
+tl::expected<Settings, std::vector<TextFault>> ParseSettings(
+    std::string_view text);
+
+// Reads a file; a file that cannot be read is a fault at line 0.
+tl::expected<Settings, std::vector<TextFault>> ReadSettings(
+    const std::string& path);
+
+// Time with a unit, such as `500us`, `20ms` or `3s`.
+tl::expected<std::chrono::microseconds, std::string> ParseTime(
+    std::string_view text);
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_SRC_ADAPTERS_SETTINGS_H_
