Peer transport and settings under test; each loop owns its thread

Cause: tests crashed at exit: the calling thread's fiber scheduler outlived the loop's io_context. Change: IoLoop starts and joins a thread of its own.

--- a/src/adapters/fiber_io.cc
+++ b/src/adapters/fiber_io.cc
@@ -78,7 +78,22 @@
       work(boost::asio::make_work_guard(this->io)),
       stacks(kFiberStackBytes) {}
 
+void IoLoop::Start() {
+  this->thread = std::thread([this] { this->RunThread(); });
+}
+
+void IoLoop::Join() {
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
 void IoLoop::Run() {
+  this->Start();
+  this->Join();
+}
+
+void IoLoop::RunThread() {
   boost::fibers::use_scheduling_algorithm<IoAlgorithm>(this->io);
   std::unique_lock lock(this->mutex);
   this->stop_signal.wait(
--- a/src/adapters/fiber_io.h
+++ b/src/adapters/fiber_io.h
@@ -1,9 +1,10 @@
 // Fibers on Asio: one io_context and one fiber scheduler for each thread.
 //
 //   IoLoop loop;
-//   std::thread thread([&] { loop.Run(); });
+//   loop.Start();
 //   loop.Spawn([&] { /* a fiber: may call Await, SleepFor, ... */ });
 //   loop.Stop();
+//   loop.Join();
 //
 // Inside a fiber, an asynchronous call is awaited without blocking the thread:
 //
@@ -26,6 +27,7 @@
 #include <boost/system/error_code.hpp>
 #include <chrono>
 #include <functional>
+#include <thread>
 
 namespace tanagerledge {
 
@@ -39,8 +41,15 @@
 
   boost::asio::io_context& context() { return this->io; }
 
-  // Runs fibers on the calling thread until Stop, then until every spawned
-  // fiber has ended: whoever holds sockets closes them on stopping.
+  // Starts the loop's own thread. It must be a thread that ends before the
+  // loop does: a thread keeps its fiber scheduler until it ends.
+  void Start();
+
+  // Waits for Stop, and then until every spawned fiber has ended: whoever holds
+  // sockets closes them on stopping.
+  void Join();
+
+  // Start, then Join.
   void Run();
 
   // Starts a fiber on the loop's thread. From any thread.
@@ -61,6 +70,7 @@
   bool SleepFor(std::chrono::nanoseconds time);
 
  private:
+  void RunThread();
   void FiberEnded();
 
   boost::asio::io_context io;
@@ -71,6 +81,7 @@
   int live_fibers = 0;  // Only touched on the loop's thread.
   boost::fibers::mutex mutex;
   boost::fibers::condition_variable stop_signal;
+  std::thread thread;
 };
 
 // Await ---------------------------------------------------------------------
--- /dev/null
+++ b/tests/adapters/peer_transport_test.cc
@@ -0,0 +1,151 @@
+// Peer transport on loopback: replies, strangers, and the truth of "not sent".
+
+#include "src/adapters/peer_transport.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::milliseconds;
+
+class PeerTransportTest : public testing::Test {
+ protected:
+  struct Side {
+    PeerIdentity identity;
+    PeerHandlers handlers;
+    PeerCounters counters;
+    std::unique_ptr<PeerTransport> transport;
+  };
+
+  void SetUp() override {
+    this->client.identity = {"fleet", {"client"}, {"zone-a"}, {1}, {}};
+    this->server.identity = {"fleet", {"server"}, {"zone-b"}, {1}, {}};
+    this->OnRequest([](const NodeId& from, std::string_view request) {
+      return from.value + ":" + std::string(request);
+    });
+  }
+
+  void OnRequest(PeerPort::RequestHandler handler) {
+    this->server.handlers.on_request[static_cast<int>(Channel::kCall)] =
+        std::move(handler);
+  }
+
+  // Runs `body` in a fiber against a listening server, then ends both.
+  void Run(const std::function<void(const NodeId& server)>& body) {
+    for (Side* side : {&this->client, &this->server}) {
+      side->transport = std::make_unique<PeerTransport>(
+          this->loop, side->identity, side->handlers, side->counters);
+    }
+    const auto bound = this->server.transport->Accept(Loopback());
+    ASSERT_TRUE(bound.has_value());
+    this->loop.Spawn([&] {
+      body(NodeId{FormatAddress(*bound)});
+      this->client.transport->Close();
+      this->server.transport->Close();
+      this->loop.Stop();
+    });
+    this->loop.Run();
+  }
+
+  static boost::asio::ip::tcp::endpoint Loopback() {
+    return *ParseAddress("127.0.0.1:0");
+  }
+
+  auto Ask(const NodeId& to, std::string request, milliseconds timeout) {
+    return this->client.transport->Request(to, Channel::kCall,
+                                           std::move(request), timeout);
+  }
+
+  IoLoop loop;
+  Side client;
+  Side server;
+};
+
+TEST_F(PeerTransportTest, Request_IsAnsweredWithTheSendersName) {
+  this->Run([this](const NodeId& to) {
+    const auto reply = this->Ask(to, "hello", milliseconds(2000));
+    ASSERT_TRUE(reply.has_value());
+    EXPECT_EQ(*reply, "client:hello");
+  });
+}
+
+TEST_F(PeerTransportTest, LargeRequest_ArrivesWhole) {
+  const std::string large(1'000'000, 'x');
+  this->Run([&](const NodeId& to) {
+    const auto reply = this->Ask(to, large, milliseconds(5000));
+    ASSERT_TRUE(reply.has_value());
+    EXPECT_EQ(reply->size(), large.size() + std::string("client:").size());
+  });
+}
+
+TEST_F(PeerTransportTest, NobodyListens_IsNotSent) {
+  this->Run([this](const NodeId&) {
+    const auto reply = this->Ask({"127.0.0.1:1"}, "hello", milliseconds(2000));
+    ASSERT_FALSE(reply.has_value());
+    EXPECT_EQ(reply.error().kind, PeerErrorKind::kNotSent);
+  });
+}
+
+TEST_F(PeerTransportTest, NoReplyInTime_IsLost) {
+  this->OnRequest([this](const NodeId&, std::string_view) {
+    this->loop.SleepFor(milliseconds(200));
+    return std::string();
+  });
+  this->Run([this](const NodeId& to) {
+    const auto reply = this->Ask(to, "hello", milliseconds(50));
+    ASSERT_FALSE(reply.has_value());
+    EXPECT_EQ(reply.error().kind, PeerErrorKind::kLost);
+  });
+}
+
+TEST_F(PeerTransportTest, TimeoutBeforeTheDelayedFrameLeft_IsNeverSentLater) {
+  int arrived = 0;
+  this->OnRequest([&](const NodeId&, std::string_view) {
+    ++arrived;
+    return std::string();
+  });
+  this->client.identity.one_way_delay[{"zone-b"}] = milliseconds(30);
+  this->Run([&](const NodeId& to) {
+    // The first request greets, so that the zone and its delay are known.
+    ASSERT_TRUE(this->Ask(to, "greet", milliseconds(2000)).has_value());
+    const auto reply = this->Ask(to, "late", milliseconds(5));
+    ASSERT_FALSE(reply.has_value());
+    EXPECT_EQ(reply.error().kind, PeerErrorKind::kNotSent);
+    ASSERT_TRUE(this->Ask(to, "last", milliseconds(2000)).has_value());
+  });
+  EXPECT_EQ(arrived, 2);
+}
+
+TEST_F(PeerTransportTest, OtherFleet_IsRefusedAndCounted) {
+  this->client.identity.fleet = "stranger";
+  this->Run([this](const NodeId& to) {
+    EXPECT_FALSE(this->Ask(to, "hello", milliseconds(500)).has_value());
+  });
+  EXPECT_EQ(this->server.counters.hellos_refused.load(), 1u);
+}
+
+TEST_F(PeerTransportTest, Garbage_EndsTheConnectionAndOthersGoOn) {
+  this->Run([this](const NodeId& to) {
+    boost::asio::ip::tcp::socket socket(this->loop.context());
+    socket.connect(*ParseAddress(to.value));
+    const std::string garbage = "GET / HTTP/1.1\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(garbage));
+    char byte = 0;
+    // The server says Hello, then closes.
+    const auto end = Await<std::size_t>([&](auto done) {
+      socket.async_read_some(boost::asio::buffer(&byte, 1), std::move(done));
+    });
+    EXPECT_FALSE(end.error);
+    EXPECT_TRUE(this->Ask(to, "hello", milliseconds(2000)).has_value());
+  });
+  EXPECT_EQ(this->server.counters.bad_frames.load(), 1u);
+}
+
+}  // namespace
+}  // namespace tanagerledge
--- /dev/null
+++ b/tests/adapters/settings_test.cc
@@ -0,0 +1,61 @@
+// Settings: every key checked, every fault with its line, none left out.
+
+#include "src/adapters/settings.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+namespace tanagerledge {
+namespace {
+
+class SettingsTest : public testing::Test {
+ protected:
+  static std::string Good() {
+    return "[node]\nfleet = beryn\naddress = 127.0.0.1:7001\nzone = a\n"
+           "seeds = 127.0.0.1:7001, 127.0.0.1:7002\n"
+           "[front]\naddress = 127.0.0.1:8001\n"
+           "[admin]\naddress = 127.0.0.1:9001\n"
+           "[log]\naddress = 127.0.0.1:6000\n"
+           "[delays]\nb = 500us\n";
+  }
+};
+
+TEST_F(SettingsTest, GoodText_IsTakenWhole) {
+  const auto settings = ParseSettings(Good());
+  ASSERT_TRUE(settings.has_value());
+  EXPECT_EQ(settings->fleet, "beryn");
+  EXPECT_EQ(settings->seeds.size(), 2u);
+  EXPECT_EQ(settings->delays.at(Zone{"b"}), std::chrono::microseconds(500));
+}
+
+TEST_F(SettingsTest, SeveralFaults_AllNameTheirLines) {
+  const auto settings = ParseSettings(
+      Good() + "[node]\nworkers = many\ncolour = red\n[colour]\nred = 1\n");
+  ASSERT_FALSE(settings.has_value());
+  ASSERT_EQ(settings.error().size(), 3u);
+  EXPECT_EQ(settings.error()[0].line, 15);
+  EXPECT_EQ(settings.error()[1].line, 16);
+  EXPECT_EQ(settings.error()[2].line, 17);
+}
+
+TEST_F(SettingsTest, MissingKeys_AreEachNamed) {
+  const auto settings = ParseSettings("[node]\nfleet = beryn\n");
+  ASSERT_FALSE(settings.has_value());
+  EXPECT_EQ(settings.error().size(), 5u);
+}
+
+TEST_F(SettingsTest, TimesWithoutUnitOrTooLarge_AreRefused) {
+  EXPECT_EQ(*ParseTime("20ms"), std::chrono::milliseconds(20));
+  for (const char* bad : {"", "20", "ms", "-1ms", "1.5s", "99999999s", "1h"}) {
+    EXPECT_FALSE(ParseTime(bad).has_value()) << bad;
+  }
+}
+
+TEST_F(SettingsTest, MissingFile_IsAFaultAndNoCrash) {
+  EXPECT_FALSE(ReadSettings("no-such-settings.ini").has_value());
+}
+
+}  // namespace
+}  // namespace tanagerledge
