--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -2,10 +2,13 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
-#include <optional>
+#include <string>
+#include <utility>
 
 namespace tanagerledge {
 
@@ -14,6 +17,42 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+using BeastRequest = http::request<http::string_body>;
+using BeastResponse = http::response<http::string_body>;
+
+std::string ToString(beast::string_view text) {
+  return std::string(text.data(), text.size());
+}
+
+HttpRequest FromBeast(BeastRequest&& from) {
+  HttpRequest request;
+  request.method = ToString(from.method_string());
+  request.target = ToString(from.target());
+  for (const auto& field : from) {
+    request.headers.push_back(
+        {ToString(field.name_string()), ToString(field.value())});
+  }
+  request.body = std::move(from.body());
+  return request;
+}
+
+BeastResponse ToBeast(HttpResponse&& from, unsigned version, bool keep_alive) {
+  BeastResponse response(static_cast<http::status>(from.status), version);
+  for (const HttpHeader& header : from.headers) {
+    response.insert(
+        beast::string_view(header.name.data(), header.name.size()),
+        beast::string_view(header.value.data(), header.value.size()));
+  }
+  response.keep_alive(keep_alive);
+  response.body() = std::move(from.body);
+  response.prepare_payload();
+  return response;
+}
+
+}  // namespace
+
 struct HttpServer::Connection {
   explicit Connection(tcp::socket socket) : stream(std::move(socket)) {}
 
@@ -117,9 +156,11 @@
     return false;
   }
   connection.stream.expires_never();
-  HttpResponse response = this->handler(parser.get());
-  response.keep_alive(parser.get().keep_alive() && !this->draining);
-  response.prepare_payload();
+  const unsigned version = parser.get().version();
+  const bool keep_alive = parser.get().keep_alive();
+  const HttpRequest request = FromBeast(parser.release());
+  BeastResponse response =
+      ToBeast(this->handler(request), version, keep_alive && !this->draining);
   connection.stream.expires_after(this->limits.read_timeout);
   const auto written = Await<std::size_t>([&](auto done) {
     http::async_write(connection.stream, response, std::move(done));
@@ -127,15 +168,4 @@
   return written && response.keep_alive();
 }
 
-HttpResponse MakeResponse(const HttpRequest& request,
-                          unsigned status,
-                          std::string_view content_type,
-                          std::string body) {
-  HttpResponse response(static_cast<http::status>(status), request.version());
-  response.set(http::field::content_type,
-               beast::string_view(content_type.data(), content_type.size()));
-  response.body() = std::move(body);
-  return response;
-}
-
 }  // namespace tanagerledge
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -4,10 +4,9 @@
 #define TANAGERLEDGE_SRC_ADAPTERS_HTTP_SERVER_H_
 
 #include "src/adapters/fiber_io.h"
+#include "src/adapters/http_message.h"
 #include "src/adapters/net.h"
 
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -15,11 +14,6 @@
 
 namespace tanagerledge {
 
-using HttpRequest =
-    boost::beast::http::request<boost::beast::http::string_body>;
-using HttpResponse =
-    boost::beast::http::response<boost::beast::http::string_body>;
-
 // Limits on what one caller may hold.
 struct HttpLimits {
   std::size_t max_body_bytes = 1024 * 1024;
@@ -63,12 +57,6 @@
   bool draining = false;
 };
 
-// A response with the usual fields set.
-HttpResponse MakeResponse(const HttpRequest& request,
-                          unsigned status,
-                          std::string_view content_type,
-                          std::string body);
-
 }  // namespace tanagerledge
 
 #endif  // TANAGERLEDGE_SRC_ADAPTERS_HTTP_SERVER_H_
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
 #include <charconv>
 #include <fstream>
 #include <iterator>
 #include <optional>
-#include <ranges>
 #include <set>
 #include <utility>
 
@@ -76,9 +77,10 @@
 }
 
 Fault TakeSeeds(Settings& settings, const std::string& value) {
-  for (const auto part : std::views::split(value, ',')) {
-    std::string seed(part.begin(), part.end());
-    std::erase(seed, ' ');
+  std::vector<std::string> parts;
+  boost::algorithm::split(parts, value, [](char c) { return c == ','; });
+  for (std::string& seed : parts) {
+    boost::algorithm::trim(seed);
     NodeId node;
     if (const Fault fault = TakeAddress(node.value, seed)) {
       return fault;
