--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -41,7 +41,7 @@
   12: i32 depth
   13: i64 write_mark
   14: i64 fingerprint
-  15: bool suspect
+  15: bool within_retry
 }
 
 struct CallReply {
@@ -54,4 +54,6 @@
   7: optional LoadReport load
   8: i64 write_mark
   9: i64 execution_us
+  /** A hop further down has decided about a retry already. */
+  10: bool judged
 }
--- /dev/null
+++ b/src/node/back_end_link.cc
@@ -0,0 +1,69 @@
+#include "src/node/back_end_link.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "src/adapters/net.h"
+
+namespace tanagerledge {
+namespace {
+
+constexpr std::chrono::milliseconds kProbeTimeout{200};
+// A back end has 110 to 130 connections; its slots bound those in use, and this
+// bounds those kept idle by one worker.
+constexpr std::size_t kMaxIdleConnections = 16;
+constexpr std::size_t kMaxAnswerBytes = 2 * 1024 * 1024;
+
+}  // namespace
+
+std::shared_ptr<HttpClient> BackEndLink::ClientFor(const BackEndId& back_end) {
+  if (this->client && this->connected_to == back_end) {
+    return this->client;
+  }
+  const auto address = ParseAddress(back_end.value);
+  if (!address) {
+    return nullptr;
+  }
+  HttpClientOptions options;
+  options.max_idle_connections = kMaxIdleConnections;
+  options.max_body_bytes = kMaxAnswerBytes;
+  this->client = std::make_shared<HttpClient>(this->loop, *address, options);
+  this->connected_to = back_end;
+  return this->client;
+}
+
+tl::expected<HttpResponse, HttpError> BackEndLink::Send(
+    const BackEndId& back_end,
+    const HttpRequest& request,
+    std::chrono::milliseconds timeout) {
+  const std::shared_ptr<HttpClient> held = this->ClientFor(back_end);
+  if (!held) {
+    return tl::unexpected(HttpError{false, "no address"});
+  }
+  return held->Send(request, timeout);
+}
+
+bool BackEndLink::Listens(const BackEndId& back_end) {
+  const auto address = ParseAddress(back_end.value);
+  if (!address) {
+    return false;
+  }
+  boost::asio::ip::tcp::socket socket(this->loop.context());
+  boost::asio::steady_timer timer(this->loop.context(), kProbeTimeout);
+  timer.async_wait([&socket](boost::system::error_code error) {
+    if (!error) {
+      socket.close(error);
+    }
+  });
+  const auto error = AwaitError([&](auto done) {
+    socket.async_connect(*address, std::move(done));
+  });
+  return error != boost::asio::error::connection_refused;
+}
+
+void BackEndLink::Close() {
+  if (this->client) {
+    this->client->Close();
+  }
+}
+
+}  // namespace tanagerledge
--- /dev/null
+++ b/src/node/call_messages.cc
@@ -0,0 +1,143 @@
+#include "src/node/call_messages.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/algorithm/string/predicate.hpp>
+#include <charconv>
+#include <utility>
+
+#include "src/node/call_headers.h"
+
+namespace tanagerledge {
+namespace {
+
+constexpr int kBadRequestStatus = 400;
+constexpr int kNotFoundStatus = 404;
+constexpr int kConflictStatus = 409;
+constexpr int kBadGatewayStatus = 502;
+constexpr int kUnavailableStatus = 503;
+constexpr int kServerErrorStatus = 500;
+
+int StatusOf(Outcome outcome, Reason reason) {
+  if (outcome == Outcome::kUnknown) {
+    return kBadGatewayStatus;
+  }
+  switch (reason) {
+    case Reason::kNoRoute:
+      return kNotFoundStatus;
+    case Reason::kBadRequest:
+      return kBadRequestStatus;
+    case Reason::kDuplicate:
+      return kConflictStatus;
+    default:
+      return kUnavailableStatus;
+  }
+}
+
+template <typename Enum>
+Enum InRange(std::int32_t value, Enum last, Enum fallback) {
+  const bool known = value >= 0 && value <= static_cast<std::int32_t>(last);
+  return known ? static_cast<Enum>(value) : fallback;
+}
+
+}  // namespace
+
+wire::CallReply MakeReply(Outcome outcome, Reason reason, std::string detail) {
+  wire::CallReply reply;
+  reply.outcome = static_cast<std::int32_t>(outcome);
+  reply.reason = static_cast<std::int32_t>(reason);
+  reply.detail = std::move(detail);
+  reply.status = StatusOf(outcome, reason);
+  return reply;
+}
+
+Outcome OutcomeOf(const wire::CallReply& reply) {
+  return InRange(reply.outcome, Outcome::kUnknown, Outcome::kUnknown);
+}
+
+Reason ReasonOf(const wire::CallReply& reply) {
+  return InRange(reply.reason, Reason::kShuttingDown, Reason::kNone);
+}
+
+FinishKind FinishKindOf(const wire::CallReply& reply) {
+  switch (OutcomeOf(reply)) {
+    case Outcome::kOk:
+      return reply.status >= kServerErrorStatus ? FinishKind::kFailed
+                                                : FinishKind::kOk;
+    case Outcome::kNotRun:
+      return FinishKind::kShed;
+    case Outcome::kUnknown:
+      return FinishKind::kLost;
+  }
+  return FinishKind::kLost;
+}
+
+HttpResponse ToHttp(const wire::CallReply& reply,
+                    const RankName& rank,
+                    ReleaseNumber release) {
+  HttpResponse response;
+  response.status = reply.status;
+  for (const wire::Header& header : reply.headers) {
+    response.headers.push_back({header.name, header.value});
+  }
+  const auto add = [&response](std::string_view name, std::string_view value) {
+    response.headers.push_back({std::string(name), std::string(value)});
+  };
+  add(kOutcomeHeader, ToText(OutcomeOf(reply)));
+  add(kReasonHeader, ToText(ReasonOf(reply)));
+  add(kReleaseHeader, std::to_string(release.value));
+  if (!rank.value.empty()) {
+    add(kRankHeader, rank.value);
+  }
+  if (reply.judged) {
+    add(kJudgedHeader, "yes");
+  }
+  response.body =
+      OutcomeOf(reply) == Outcome::kOk ? reply.body : reply.detail + "\n";
+  return response;
+}
+
+wire::LoadReport ToWire(const LoadReport& load) {
+  wire::LoadReport report;
+  report.limit = load.limit;
+  report.running = load.running;
+  report.queued = load.queued;
+  report.admission_level = load.admission_level;
+  report.service_time_us = load.service_time.count();
+  return report;
+}
+
+LoadReport FromWire(const wire::LoadReport& report) {
+  LoadReport load;
+  load.limit = std::max(report.limit, 0);
+  load.running = std::max(report.running, 0);
+  load.queued = std::max(report.queued, 0);
+  load.admission_level = report.admission_level;
+  load.service_time = std::chrono::microseconds(
+      std::max<std::int64_t>(report.service_time_us, 0));
+  return load;
+}
+
+bool IsEndToEnd(std::string_view header_name) {
+  constexpr std::array<std::string_view, 7> kOneConnection = {
+      "connection", "content-length", "transfer-encoding", "keep-alive",
+      "host",       "upgrade",        "te"};
+  const bool ours = boost::algorithm::istarts_with(header_name, kHeaderPrefix);
+  return !ours && std::ranges::none_of(
+                      kOneConnection, [&](std::string_view name) {
+                        return boost::algorithm::iequals(header_name, name);
+                      });
+}
+
+std::int64_t NumberOr(std::string_view text,
+                      std::int64_t fallback,
+                      std::int64_t most) {
+  std::int64_t number = 0;
+  const char* const last = text.data() + text.size();
+  const auto [end, code] = std::from_chars(text.data(), last, number);
+  const bool good = !text.empty() && code == std::errc() && end == last &&
+                    number >= 0 && number <= most;
+  return good ? number : fallback;
+}
+
+}  // namespace tanagerledge
--- /dev/null
+++ b/src/node/entry.cc
@@ -0,0 +1,296 @@
+#include "src/node/entry.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "src/adapters/codec.h"
+#include "src/node/call_headers.h"
+#include "src/node/call_messages.h"
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMaxCustomerBytes = 128;
+constexpr std::int64_t kMaxDepth = 64;
+constexpr std::int64_t kMaxDeadlineMs = 600'000;
+constexpr std::size_t kMaxHeaders = 64;
+constexpr milliseconds kLongestCatchUp{500};
+constexpr milliseconds kCatchUpStep{5};
+// A reply needs time to come back after the call's own deadline was judged.
+constexpr milliseconds kReplyMargin{50};
+
+Instant Now() {
+  return std::chrono::steady_clock::now();
+}
+
+wire::CallReply NotRun(Reason reason, std::string detail) {
+  return MakeReply(Outcome::kNotRun, reason, std::move(detail));
+}
+
+}  // namespace
+
+// One call on its way through the entry.
+struct Entry::Call {
+  const HttpRequest& request;
+  Instant arrived{};
+  Instant deadline{};
+  std::shared_ptr<const Snapshot> snapshot;
+  const Route* route = nullptr;
+  RankName rank;
+  Customer customer;
+  std::string key;
+  SessionToken session;
+  int depth = 0;
+  bool within_retry = false;
+  int attempts = 0;
+  std::vector<NodeId> tried;
+};
+
+Entry::Entry(NodeId own_node,
+             Zone own_zone,
+             Executor& own_executor,
+             EndpointChooser& endpoint_chooser,
+             CallMetrics& call_metrics,
+             DecisionLog& decision_log)
+    : self(std::move(own_node)),
+      zone(std::move(own_zone)),
+      executor(own_executor),
+      chooser(endpoint_chooser),
+      metrics(call_metrics),
+      decisions(decision_log) {}
+
+HttpResponse Entry::Handle(Worker& worker, const HttpRequest& request) {
+  Call call{request};
+  call.arrived = Now();
+  wire::CallReply reply;
+  if (auto refused = this->Prepare(worker, call)) {
+    reply = std::move(*refused);
+  } else {
+    reply = this->Attempt(worker, call);
+  }
+  const ReleaseNumber release =
+      call.snapshot ? call.snapshot->fleet().release : ReleaseNumber{};
+  HttpResponse response = ToHttp(reply, call.rank, release);
+  call.session.NoteRelease(release);
+  response.headers.push_back(
+      {std::string(kSessionHeader), ToText(call.session)});
+  const microseconds took =
+      std::chrono::duration_cast<microseconds>(Now() - call.arrived);
+  this->metrics.Count(call.rank, OutcomeOf(reply), ReasonOf(reply), took);
+  if (OutcomeOf(reply) != Outcome::kOk) {
+    this->decisions.Add(Part::kCall,
+                        std::string(ToText(OutcomeOf(reply))) + " " +
+                            request.method + " " +
+                            std::string(request.Path().substr(0, 64)),
+                        std::string(ToText(ReasonOf(reply))) + ": " +
+                            reply.detail);
+  }
+  return response;
+}
+
+// Before the first attempt --------------------------------------------------
+
+// Reads the request and matches its route; an answer when it ends here.
+std::optional<wire::CallReply> Entry::Prepare(Worker& worker, Call& call) {
+  const HttpRequest& request = call.request;
+  if (this->shutting_down.load()) {
+    return NotRun(Reason::kShuttingDown, "this node is shutting down");
+  }
+  call.snapshot = worker.snapshots.Read();
+  if (!this->ready.load() || !call.snapshot) {
+    return NotRun(Reason::kNodeNotReady, "this node is not ready");
+  }
+  call.customer.value = request.Header(kCustomerHeader);
+  call.key = request.Header(kKeyHeader);
+  if (call.customer.value.size() > kMaxCustomerBytes ||
+      call.key.size() > kMaxOnceKeyBytes ||
+      request.headers.size() > kMaxHeaders) {
+    return NotRun(Reason::kBadRequest, "a header is too long or too many");
+  }
+  const std::string_view token = request.Header(kSessionHeader);
+  if (!token.empty()) {
+    auto session = ParseSessionToken(token);
+    if (!session) {
+      return NotRun(Reason::kBadRequest, "the session token is malformed");
+    }
+    call.session = std::move(*session);
+  }
+  call.depth =
+      static_cast<int>(NumberOr(request.Header(kDepthHeader), 0, kMaxDepth));
+  call.within_retry = !request.Header(kRetryHeader).empty();
+  if (auto behind = this->CatchUp(worker, call)) {
+    return behind;
+  }
+  call.route = call.snapshot->Match(request.Path());
+  if (call.route == nullptr) {
+    return NotRun(Reason::kNoRoute, "no route matches the path");
+  }
+  call.rank = call.route->rank;
+  const milliseconds asked{NumberOr(request.Header(kDeadlineHeader),
+                                    call.route->deadline.count(),
+                                    kMaxDeadlineMs)};
+  call.deadline = call.arrived + std::min(asked, call.route->deadline);
+  return std::nullopt;
+}
+
+// A session that saw a newer release waits for it, within a bound.
+std::optional<wire::CallReply> Entry::CatchUp(Worker& worker, Call& call) {
+  const ReleaseNumber floor = call.session.release_floor();
+  const Instant until = call.arrived + kLongestCatchUp;
+  while (call.snapshot->fleet().release < floor) {
+    if (Now() >= until || !worker.loop.SleepFor(kCatchUpStep)) {
+      return NotRun(Reason::kSessionBehind,
+                    "this node is behind the session's release");
+    }
+    call.snapshot = worker.snapshots.Read();
+  }
+  return std::nullopt;
+}
+
+// Attempts ------------------------------------------------------------------
+
+wire::CallReply Entry::Attempt(Worker& worker, Call& call) {
+  RetryBudget& budget = BudgetOf(worker, call);
+  budget.OnFirstAttempt(call.depth);
+  while (true) {
+    const std::optional<NodeId> node = this->Choose(worker, call);
+    if (!node) {
+      const bool any =
+          !call.snapshot->EndpointsOf(call.route->service).empty();
+      return any ? NotRun(Reason::kOverloaded, "no endpoint takes this rank")
+                 : NotRun(Reason::kNoEndpoint, "the service has no endpoint");
+    }
+    ++call.attempts;
+    wire::CallReply reply = this->SendTo(worker, call, *node);
+    if (OutcomeOf(reply) == Outcome::kOk) {
+      return reply;
+    }
+    FinishedAttempt attempt;
+    attempt.outcome = OutcomeOf(reply);
+    attempt.reason = ReasonOf(reply);
+    attempt.idempotent = call.route->idempotent;
+    attempt.has_key = !call.key.empty();
+    attempt.attempts = call.attempts;
+    attempt.remaining =
+        std::chrono::duration_cast<microseconds>(call.deadline - Now());
+    attempt.judged_deeper = reply.judged;
+    attempt.within_retry = call.within_retry;
+    const RetryDecision decision = DecideRetry(attempt, budget);
+    if (const auto* end = std::get_if<GiveUp>(&decision)) {
+      reply.outcome = static_cast<std::int32_t>(end->outcome);
+      reply.reason = static_cast<std::int32_t>(end->reason);
+      reply.judged = true;
+      return reply;
+    }
+    call.tried.push_back(*node);
+    worker.loop.SleepFor(std::get<RetryElsewhere>(decision).after);
+  }
+}
+
+std::optional<NodeId> Entry::Choose(Worker& worker, Call& call) {
+  const ServiceName& service = call.route->service;
+  // A session reads where it wrote, while that endpoint takes calls.
+  if (const SessionWrite* write = call.session.WriteTo(service)) {
+    const auto& endpoints = call.snapshot->EndpointsOf(service);
+    const auto found =
+        std::ranges::find(endpoints, write->node, &Endpoint::node);
+    const bool tried = std::ranges::find(call.tried, write->node) !=
+                       call.tried.end();
+    if (found != endpoints.end() && !tried &&
+        found->state != EndpointState::kDraining &&
+        found->state != EndpointState::kGone) {
+      return write->node;
+    }
+  }
+  return this->chooser.Choose(*call.snapshot, service, call.rank, this->zone,
+                              call.tried, Now(), worker.rng);
+}
+
+wire::CallReply Entry::SendTo(Worker& worker, Call& call, const NodeId& node) {
+  const Instant start = Now();
+  this->chooser.OnStart(node);
+  wire::CallReply reply = this->Ask(worker, call, node);
+  const Instant end = Now();
+  const bool answered = ReasonOf(reply) != Reason::kPeerUnreachable;
+  if (answered) {
+    this->chooser.OnReply(
+        node, call.rank, FinishKindOf(reply), FromWire(reply.load),
+        std::chrono::duration_cast<microseconds>(end - start), end);
+  } else {
+    this->chooser.OnUnreachable(node, end);
+  }
+  if (OutcomeOf(reply) == Outcome::kOk && reply.write_mark > 0 &&
+      !call.route->idempotent) {
+    call.session.NoteWrite(
+        call.route->service,
+        WriteMark{static_cast<std::uint64_t>(reply.write_mark)}, node);
+  }
+  return reply;
+}
+
+wire::CallReply Entry::Ask(Worker& worker, Call& call, const NodeId& node) {
+  const wire::CallRequest request = MakeRequest(call);
+  if (node == this->self) {
+    return this->executor.Execute(worker.back_end, request);
+  }
+  const auto timeout = microseconds(request.remaining_us) + kReplyMargin;
+  const auto bytes =
+      worker.peers->Request(node, Channel::kCall, Encode(request), timeout);
+  if (!bytes) {
+    const bool not_sent = bytes.error().kind == PeerErrorKind::kNotSent;
+    return MakeReply(not_sent ? Outcome::kNotRun : Outcome::kUnknown,
+                     Reason::kPeerUnreachable, bytes.error().text);
+  }
+  auto reply = Decode<wire::CallReply>(*bytes);
+  if (!reply) {
+    return MakeReply(Outcome::kUnknown, Reason::kConnectionLost,
+                     "the node's reply was malformed");
+  }
+  return std::move(*reply);
+}
+
+wire::CallRequest Entry::MakeRequest(const Call& call) {
+  wire::CallRequest out;
+  out.service_name = call.route->service.value;
+  out.rank = call.rank.value;
+  out.customer = call.customer.value;
+  out.method = call.request.method;
+  out.target = call.request.target;
+  out.body = call.request.body;
+  for (const HttpHeader& header : call.request.headers) {
+    if (IsEndToEnd(header.name)) {
+      wire::Header& kept = out.headers.emplace_back();
+      kept.name = header.name;
+      kept.value = header.value;
+    }
+  }
+  out.remaining_us = std::max<std::int64_t>(
+      std::chrono::duration_cast<microseconds>(call.deadline - Now()).count(),
+      0);
+  out.idempotent = call.route->idempotent;
+  out.idempotency_key = call.key;
+  out.release =
+      static_cast<std::int64_t>(call.snapshot->fleet().release.value);
+  out.depth = call.depth;
+  out.within_retry = call.within_retry || call.attempts > 1;
+  if (const SessionWrite* write = call.session.WriteTo(call.route->service)) {
+    out.write_mark = static_cast<std::int64_t>(write->mark.value);
+  }
+  return out;
+}
+
+RetryBudget& Entry::BudgetOf(Worker& worker, const Call& call) {
+  std::unique_ptr<RetryBudget>& budget =
+      worker.budgets[call.route->service.value + "/" + call.rank.value];
+  if (!budget) {
+    budget = std::make_unique<RetryBudget>();
+  }
+  return *budget;
+}
+
+}  // namespace tanagerledge
--- /dev/null
+++ b/src/node/entry.h
@@ -0,0 +1,83 @@
+// Where callers come in: match a route, choose an endpoint, send, perhaps send
+// again, and answer with an outcome and a reason.
+
+#ifndef TANAGERLEDGE_SRC_NODE_ENTRY_H_
+#define TANAGERLEDGE_SRC_NODE_ENTRY_H_
+
+#include <peer_types.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/adapters/http_message.h"
+#include "src/adapters/peer_transport.h"
+#include "src/node/back_end_link.h"
+#include "src/node/call_metrics.h"
+#include "src/node/executor.h"
+#include "src/node/snapshot_cell.h"
+#include "tanagerledge/endpoint_chooser.h"
+#include "tanagerledge/retry.h"
+#include "tanagerledge/session.h"
+
+namespace tanagerledge {
+
+// What one worker thread owns. Nothing in it is touched by other threads.
+struct Worker {
+  Worker(IoLoop& io_loop, const SnapshotCell& cell, std::uint64_t seed)
+      : loop(io_loop), back_end(io_loop), snapshots(cell), rng(seed) {}
+
+  IoLoop& loop;
+  BackEndLink back_end;
+  SnapshotReader snapshots;
+  Rng rng;
+  PeerPort* peers = nullptr;
+  std::unordered_map<std::string, std::unique_ptr<RetryBudget>> budgets;
+};
+
+class Entry {
+ public:
+  // Why calls are refused now; empty when the node may serve.
+  using NotReady = std::function<std::string()>;
+
+  Entry(NodeId own_node,
+        Zone own_zone,
+        Executor& own_executor,
+        EndpointChooser& endpoint_chooser,
+        CallMetrics& call_metrics,
+        DecisionLog& decision_log);
+
+  // One call of a caller. In a fiber of the worker's loop.
+  HttpResponse Handle(Worker& worker, const HttpRequest& request);
+
+  // Set by the control thread: while false, calls are refused as not run.
+  std::atomic<bool> ready{false};
+  std::atomic<bool> shutting_down{false};
+
+ private:
+  struct Call;
+
+  std::optional<wire::CallReply> Prepare(Worker& worker, Call& call);
+  std::optional<wire::CallReply> CatchUp(Worker& worker, Call& call);
+  wire::CallReply Attempt(Worker& worker, Call& call);
+  std::optional<NodeId> Choose(Worker& worker, Call& call);
+  wire::CallReply SendTo(Worker& worker, Call& call, const NodeId& node);
+  wire::CallReply Ask(Worker& worker, Call& call, const NodeId& node);
+  static wire::CallRequest MakeRequest(const Call& call);
+  static RetryBudget& BudgetOf(Worker& worker, const Call& call);
+
+  const NodeId self;
+  const Zone zone;
+  Executor& executor;
+  EndpointChooser& chooser;
+  CallMetrics& metrics;
+  DecisionLog& decisions;
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_SRC_NODE_ENTRY_H_
