--- /dev/null
+++ b/src/execution/suspects.cc
@@ -0,0 +1,155 @@
+#include "tanagerledge/suspects.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace tanagerledge {
+namespace {
+
+// Each part is hashed with the ones before as its seed, so that parts cannot
+// run into each other.
+std::uint64_t HashOf(std::uint64_t before, std::string_view part) {
+  return XXH3_64bits_withSeed(part.data(), part.size(), before);
+}
+
+}  // namespace
+
+Fingerprint FingerprintOf(const Customer& customer,
+                          std::string_view method,
+                          std::string_view target,
+                          std::string_view body) {
+  const std::uint64_t caller = HashOf(0, customer.value);
+  const std::uint64_t call = HashOf(HashOf(caller, method), target);
+  return {HashOf(call, body)};
+}
+
+SuspectTable::SuspectTable(SuspectConfig table_config) : config(table_config) {}
+
+// Verdicts ------------------------------------------------------------------
+
+Standing SuspectTable::Look(Fingerprint fingerprint, Instant now) const {
+  const auto found = this->entries.find(fingerprint);
+  if (found == this->entries.end() || found->second.expires <= now) {
+    return Standing::kClear;
+  }
+  return found->second.deaths >= this->config.most_deaths
+             ? Standing::kQuarantined
+             : Standing::kSuspect;
+}
+
+LeaseAnswer SuspectTable::OnLeaseAsked(Fingerprint fingerprint,
+                                       const NodeId& holder,
+                                       std::chrono::microseconds length,
+                                       Instant now) {
+  if (this->Look(fingerprint, now) == Standing::kQuarantined) {
+    return LeaseAnswer::kRefused;
+  }
+  // A home that has not heard of it trusts the node that asks.
+  Entry& entry = this->Touch(fingerprint, now);
+  if (entry.lease && entry.lease->until > now) {
+    return LeaseAnswer::kBusy;
+  }
+  entry.lease = Lease{holder, now + length};
+  return LeaseAnswer::kGranted;
+}
+
+bool SuspectTable::TryStartHere(Instant now, Instant until) {
+  if (this->running_until && *this->running_until > now) {
+    return false;
+  }
+  this->running_until = until;
+  return true;
+}
+
+void SuspectTable::EndHere() {
+  this->running_until.reset();
+}
+
+// Events --------------------------------------------------------------------
+
+std::vector<Suspicion> SuspectTable::OnBackEndDied(
+    const std::vector<Fingerprint>& running,
+    Instant now) {
+  std::vector<Fingerprint> distinct = running;
+  std::ranges::sort(distinct);
+  distinct.erase(std::unique(distinct.begin(), distinct.end()), distinct.end());
+  std::vector<Suspicion> news;
+  for (const Fingerprint fingerprint : distinct) {
+    Entry& entry = this->Touch(fingerprint, now);
+    entry.deaths += 1;
+    entry.lease.reset();
+    entry.expires = now + this->LifeOf(entry);
+    news.push_back({fingerprint, entry.deaths, false});
+  }
+  this->EndHere();
+  return news;
+}
+
+std::optional<Suspicion> SuspectTable::OnRanSafely(Fingerprint fingerprint,
+                                                   Instant now) {
+  const auto found = this->entries.find(fingerprint);
+  if (found == this->entries.end() ||
+      found->second.deaths >= this->config.most_deaths) {
+    return std::nullopt;
+  }
+  const Suspicion news{fingerprint, found->second.deaths, true};
+  this->OnNews(news, now);
+  return news;
+}
+
+void SuspectTable::OnNews(const Suspicion& news, Instant now) {
+  const int deaths = std::clamp(news.deaths, 0, this->config.most_deaths);
+  if (news.cleared) {
+    this->Clear(news.fingerprint, deaths);
+    return;
+  }
+  Entry& entry = this->Touch(news.fingerprint, now);
+  entry.deaths = std::max(entry.deaths, deaths);
+  entry.expires = std::max(entry.expires, now + this->LifeOf(entry));
+}
+
+// Whoever cleared a call judged only the deaths it knew of.
+void SuspectTable::Clear(Fingerprint fingerprint, int deaths) {
+  const auto found = this->entries.find(fingerprint);
+  if (found != this->entries.end() && found->second.deaths <= deaths &&
+      found->second.deaths < this->config.most_deaths) {
+    this->entries.erase(found);
+  }
+}
+
+void SuspectTable::Expire(Instant now) {
+  std::erase_if(this->entries,
+                [now](const auto& item) { return item.second.expires <= now; });
+}
+
+// Entries -------------------------------------------------------------------
+
+std::chrono::seconds SuspectTable::LifeOf(const Entry& entry) const {
+  return entry.deaths >= this->config.most_deaths ? this->config.quarantine_life
+                                                  : this->config.suspect_life;
+}
+
+SuspectTable::Entry& SuspectTable::Touch(Fingerprint fingerprint, Instant now) {
+  const auto found = this->entries.find(fingerprint);
+  if (found != this->entries.end() && found->second.expires > now) {
+    return found->second;
+  }
+  if (found == this->entries.end()) {
+    this->MakeRoom();
+  }
+  Entry& entry = this->entries[fingerprint];
+  entry = {};
+  entry.expires = now + this->config.suspect_life;
+  return entry;
+}
+
+void SuspectTable::MakeRoom() {
+  if (this->entries.size() < this->config.most_entries) {
+    return;
+  }
+  this->entries.erase(std::ranges::min_element(
+      this->entries, {}, [](const auto& item) { return item.second.expires; }));
+}
+
+}  // namespace tanagerledge
--- /dev/null
+++ b/tests/execution/retry_test.cc
@@ -0,0 +1,171 @@
+// Retries: only what is safe, within the budget, and never along a chain.
+
+#include "tanagerledge/retry.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::milliseconds;
+
+class RetryTest : public testing::Test {
+ protected:
+  static FinishedAttempt NotRun() {
+    FinishedAttempt attempt;
+    attempt.outcome = Outcome::kNotRun;
+    attempt.reason = Reason::kOverloaded;
+    attempt.remaining = milliseconds(100);
+    return attempt;
+  }
+
+  bool Retries(const FinishedAttempt& attempt) {
+    return std::holds_alternative<RetryElsewhere>(
+        DecideRetry(attempt, this->budget));
+  }
+
+  RetryBudget budget;
+};
+
+TEST_F(RetryTest, NotRunInsideTheDeadline_IsRetriedAtOnce) {
+  const RetryDecision decision = DecideRetry(NotRun(), this->budget);
+  ASSERT_TRUE(std::holds_alternative<RetryElsewhere>(decision));
+  EXPECT_EQ(std::get<RetryElsewhere>(decision).after.count(), 0);
+}
+
+TEST_F(RetryTest, UnknownWithoutKey_IsRetriedOnlyWhenIdempotent) {
+  FinishedAttempt attempt = NotRun();
+  attempt.outcome = Outcome::kUnknown;
+  attempt.reason = Reason::kConnectionLost;
+  EXPECT_FALSE(this->Retries(attempt));
+  attempt.idempotent = true;
+  EXPECT_TRUE(this->Retries(attempt));
+}
+
+TEST_F(RetryTest, UnknownWithKey_IsRepeatedForItsOutcome) {
+  FinishedAttempt attempt = NotRun();
+  attempt.outcome = Outcome::kUnknown;
+  attempt.reason = Reason::kConnectionLost;
+  attempt.has_key = true;
+  EXPECT_TRUE(this->Retries(attempt));
+}
+
+TEST_F(RetryTest, NoTimeLeft_GivesUpWithTheSameOutcome) {
+  FinishedAttempt attempt = NotRun();
+  attempt.remaining = std::chrono::microseconds(500);
+  const RetryDecision decision = DecideRetry(attempt, this->budget);
+  ASSERT_TRUE(std::holds_alternative<GiveUp>(decision));
+  EXPECT_EQ(std::get<GiveUp>(decision).outcome, Outcome::kNotRun);
+  EXPECT_EQ(std::get<GiveUp>(decision).reason, Reason::kOverloaded);
+}
+
+TEST_F(RetryTest, FailureFromDeeperDown_IsNotRetriedAgain) {
+  FinishedAttempt attempt = NotRun();
+  attempt.judged_deeper = true;
+  EXPECT_FALSE(this->Retries(attempt));
+  attempt.judged_deeper = false;
+  attempt.within_retry = true;
+  EXPECT_FALSE(this->Retries(attempt));
+}
+
+TEST_F(RetryTest, QuarantinedOrUnsettled_IsFinal) {
+  FinishedAttempt attempt = NotRun();
+  attempt.has_key = true;
+  for (const Reason reason : {Reason::kQuarantined, Reason::kKeyUnsettled,
+                              Reason::kDuplicate, Reason::kBadRequest}) {
+    attempt.reason = reason;
+    EXPECT_FALSE(this->Retries(attempt)) << ToText(reason);
+  }
+}
+
+TEST_F(RetryTest, ManyThreadsSpend_NeverMoreThanTheBudget) {
+  constexpr int kThreads = 4;
+  constexpr int kCalls = 20000;
+  std::atomic<int> spent{0};
+  std::vector<std::thread> threads;
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&] {
+      for (int call = 0; call < kCalls; ++call) {
+        this->budget.OnFirstAttempt(0);
+        spent += this->budget.TrySpend() ? 1 : 0;
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  EXPECT_LE(spent.load(), kThreads * kCalls / 10 + 10);
+}
+
+// Chain ---------------------------------------------------------------------
+
+// A chain of services in which the last one always refuses. Each hop passes
+// the refusal on, with or without the marks that stop retries further up.
+class RetryChainTest : public testing::Test {
+ protected:
+  struct Marks {
+    bool up = false;    // Replies tell that a hop further down judged.
+    bool down = false;  // Requests tell that a hop further up retries.
+  };
+
+  static constexpr int kHops = 27;
+  static constexpr int kCalls = 2000;
+
+  // Attempts that reach the last back end, for each call from outside.
+  double AttemptsPerCall(Marks chain_marks) {
+    this->marks = chain_marks;
+    this->budgets = std::vector<RetryBudget>(kHops);
+    this->last_attempts = 0;
+    for (int call = 0; call < kCalls; ++call) {
+      this->Call(0, false);
+    }
+    return static_cast<double>(this->last_attempts) / kCalls;
+  }
+
+ private:
+  // Whether a hop has judged the failure that comes back.
+  bool Call(int depth, bool within_retry) {
+    if (depth == kHops) {
+      ++this->last_attempts;
+      return false;
+    }
+    RetryBudget& budget = this->budgets[static_cast<std::size_t>(depth)];
+    FinishedAttempt attempt;
+    attempt.outcome = Outcome::kNotRun;
+    attempt.reason = Reason::kBackEndRefused;
+    attempt.remaining = milliseconds(100);
+    attempt.within_retry = within_retry && this->marks.down;
+    budget.OnFirstAttempt(depth);
+    attempt.judged_deeper =
+        this->Call(depth + 1, within_retry) && this->marks.up;
+    while (
+        std::holds_alternative<RetryElsewhere>(DecideRetry(attempt, budget))) {
+      ++attempt.attempts;
+      attempt.judged_deeper = this->Call(depth + 1, true) && this->marks.up;
+    }
+    return true;
+  }
+
+  Marks marks;
+  std::vector<RetryBudget> budgets;
+  long last_attempts = 0;
+};
+
+// 1.1 is the budget itself; the rest is what the budgets had saved at first.
+TEST_F(RetryChainTest, MarksTravelUp_TotalStaysWithinOneBudget) {
+  const double saved = 10.0 * kHops / kCalls;
+  EXPECT_LE(this->AttemptsPerCall({true, true}), 1.1 + saved);
+}
+
+// The stated factor for back ends that pass on no mark, only the depth.
+TEST_F(RetryChainTest, NoMarkTravels_TotalStaysWithinTwice) {
+  EXPECT_LE(this->AttemptsPerCall({false, false}), 2.0);
+}
+
+}  // namespace
+}  // namespace tanagerledge
