--- a/idl/release.thrift
+++ b/idl/release.thrift
@@ -60,6 +60,15 @@
   2: i64 release
 }
 
+/** A publish id that was judged, so that a repeated append is told apart. */
+struct JudgedPublish {
+  1: string publish_id
+  2: i64 offset
+  /** The release it became; 0 when it was not accepted. */
+  3: i64 release
+}
+
+/** The fold after a prefix of the stream: every list is sorted or in order. */
 struct FoldState {
   1: i64 release
   2: binary digest
@@ -67,7 +76,8 @@
   4: list<RankItem> ranks
   5: list<RouteItem> routes
   6: list<Touched> touched
-  7: list<string> recent_publish_ids
+  7: list<JudgedPublish> judged
+  8: i32 rules
 }
 
 struct Checkpoint {
@@ -75,7 +85,13 @@
   2: FoldState state
 }
 
+/** From the next record on, notes are judged by these rules. */
+struct RuleChange {
+  1: i32 rules
+}
+
 struct ReleaseRecord {
   1: optional Publish publish
   2: optional Checkpoint checkpoint
+  3: optional RuleChange rule_change
 }
