--- /dev/null
+++ b/fakes/back_end.cc
@@ -0,0 +1,227 @@
+#include "fakes/back_end.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "src/adapters/net.h"
+#include "src/node/call_headers.h"
+#include "src/node/call_messages.h"
+#include "tanagerledge/outcome.h"
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kAnnouncePeriod{500};
+constexpr milliseconds kAnnounceTimeout{400};
+constexpr milliseconds kDrainStep{5};
+constexpr double kColdFactor = 3;
+constexpr int kCrashCode = 134;
+constexpr std::string_view kJson = "application/json";
+constexpr std::string_view kCrashHeader = "x-crash";
+
+std::int64_t UnixMicroseconds() {
+  return std::chrono::duration_cast<microseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+BackEnd::BackEnd(IoLoop& io_loop, BackEndConfig back_end_config)
+    : loop(io_loop),
+      config(std::move(back_end_config)),
+      server(io_loop,
+             [this](const HttpRequest& request) {
+               return this->Answer(request);
+             }),
+      random(this->config.seed),
+      started_at(std::chrono::steady_clock::now()) {}
+
+tl::expected<std::string, std::string> BackEnd::Start() {
+  const auto address = ParseAddress(this->config.address);
+  if (!address) {
+    return tl::unexpected(address.error().text);
+  }
+  const auto bound = this->server.Accept(*address);
+  if (!bound) {
+    return tl::unexpected(bound.error().text);
+  }
+  this->config.address = FormatAddress(*bound);
+  if (!this->config.admin_address.empty()) {
+    const auto admin_address = ParseAddress(this->config.admin_address);
+    if (!admin_address) {
+      return tl::unexpected(admin_address.error().text);
+    }
+    this->admin = std::make_unique<HttpClient>(this->loop, *admin_address);
+    this->loop.Spawn([this] { this->AnnounceForEver(); });
+  }
+  return this->config.address;
+}
+
+void BackEnd::Drain(milliseconds timeout) {
+  const Instant until = std::chrono::steady_clock::now() + timeout;
+  this->draining = true;
+  this->state = "draining";
+  if (this->admin) {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/drain";
+    static_cast<void>(this->admin->Send(request, kAnnounceTimeout));
+  }
+  while (this->running > 0 && std::chrono::steady_clock::now() < until) {
+    this->loop.SleepFor(kDrainStep);
+  }
+}
+
+void BackEnd::Close() {
+  this->server.Close();
+  if (this->admin) {
+    this->admin->Close();
+  }
+}
+
+// Announcing ----------------------------------------------------------------
+
+void BackEnd::AnnounceForEver() {
+  do {
+    this->AnnounceOnce();
+  } while (this->loop.SleepFor(kAnnouncePeriod));
+}
+
+void BackEnd::AnnounceOnce() {
+  const nlohmann::json body = {
+      {"service", this->config.service.value},
+      {"address", this->config.address},
+      {"slots", this->config.slots},
+      {"connections", this->config.connections},
+      {"state", this->state},
+      {"instance",
+       std::to_string(this->started_at.time_since_epoch().count())}};
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/announce";
+  request.body = body.dump();
+  // The node may not be up yet, or be away: the next time will tell.
+  static_cast<void>(this->admin->Send(request, kAnnounceTimeout));
+}
+
+// Answering -----------------------------------------------------------------
+
+HttpResponse BackEnd::Answer(const HttpRequest& request) {
+  if (request.Path() == "/stats") {
+    return this->Stats();
+  }
+  if (request.Path() == "/faults") {
+    return this->SetFaults(request);
+  }
+  return this->Run(request);
+}
+
+HttpResponse BackEnd::Run(const HttpRequest& request) {
+  const std::int64_t run_by =
+      NumberOr(request.Header(kRunByHeader),
+               std::numeric_limits<std::int64_t>::max(),
+               std::numeric_limits<std::int64_t>::max());
+  if (UnixMicroseconds() >= run_by) {
+    ++this->expired;
+    return this->NotRun("expired");
+  }
+  if (this->shed || this->running >= this->config.slots) {
+    return this->NotRun("no slot");
+  }
+  if (this->fail_fast) {
+    return MakeResponse(500, "text/plain", "failed\n");
+  }
+  ++this->running;
+  this->most_running = std::max(this->most_running, this->running);
+  this->CountRun(request);
+  if (!request.Header(kCrashHeader).empty()) {
+    std::_Exit(kCrashCode);
+  }
+  this->loop.SleepFor(this->NextServiceTime());
+  --this->running;
+  HttpResponse response = MakeResponse(
+      200, "text/plain",
+      this->config.service.value + " ran " + request.target + "\n");
+  response.headers.push_back(
+      {std::string(kWriteMarkHeader), std::to_string(this->mark)});
+  return response;
+}
+
+void BackEnd::CountRun(const HttpRequest& request) {
+  ++this->runs;
+  const std::string_view key = request.Header(kKeyHeader);
+  if (!key.empty()) {
+    ++this->runs_of_key[std::string(key)];
+    ++this->mark;
+  }
+}
+
+HttpResponse BackEnd::NotRun(const std::string& why) {
+  ++this->refused;
+  HttpResponse response = MakeResponse(503, "text/plain", why + "\n");
+  response.headers.push_back({std::string(kOutcomeHeader),
+                              std::string(ToText(Outcome::kNotRun))});
+  return response;
+}
+
+microseconds BackEnd::NextServiceTime() {
+  std::uniform_real_distribution<double> spread(0.5, 1.5);
+  const bool cold = std::chrono::steady_clock::now() <
+                    this->started_at + this->config.warm_up;
+  const double factor =
+      spread(this->random) * this->slow_factor * (cold ? kColdFactor : 1);
+  return std::chrono::duration_cast<microseconds>(this->config.service_time *
+                                                  factor);
+}
+
+// Control -------------------------------------------------------------------
+
+HttpResponse BackEnd::Stats() const {
+  nlohmann::json doubled = nlohmann::json::array();
+  for (const auto& [key, count] : this->runs_of_key) {
+    if (count > 1) {
+      doubled.push_back(key);
+    }
+  }
+  nlohmann::json keys = nlohmann::json::array();
+  for (const auto& [key, count] : this->runs_of_key) {
+    keys.push_back(key);
+  }
+  const nlohmann::json stats = {{"service", this->config.service.value},
+                                {"runs", this->runs},
+                                {"running", this->running},
+                                {"most_running", this->most_running},
+                                {"refused", this->refused},
+                                {"expired", this->expired},
+                                {"keys", std::move(keys)},
+                                {"doubled", std::move(doubled)}};
+  return MakeResponse(200, kJson, stats.dump() + "\n");
+}
+
+HttpResponse BackEnd::SetFaults(const HttpRequest& request) {
+  const auto body = nlohmann::json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    return MakeResponse(400, kJson, "{\"error\":\"no JSON object\"}\n");
+  }
+  const auto flag = [&body](const char* name, bool now) {
+    const auto found = body.find(name);
+    return found != body.end() && found->is_boolean() ? found->get<bool>()
+                                                      : now;
+  };
+  this->fail_fast = flag("fail_fast", this->fail_fast);
+  this->shed = flag("shed", this->shed);
+  const auto factor = body.find("slow_factor");
+  if (factor != body.end() && factor->is_number()) {
+    this->slow_factor = std::clamp(factor->get<double>(), 0.01, 1000.0);
+  }
+  return MakeResponse(200, kJson, "{}\n");
+}
+
+}  // namespace tanagerledge
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -106,6 +106,9 @@
     error_code ignored;
     this->acceptor->close(ignored);
   }
+}
+
+void HttpServer::CloseIdle() {
   for (const auto& connection : this->connections) {
     if (connection->idle) {
       connection->Close();
@@ -132,9 +135,6 @@
 // One request and its answer; false when the connection is to end.
 bool HttpServer::ServeOne(Connection& connection) {
   connection.idle = true;
-  if (this->draining) {
-    return false;
-  }
   http::request_parser<http::string_body> parser;
   parser.body_limit(this->limits.max_body_bytes);
   parser.header_limit(this->limits.max_header_bytes);
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -35,9 +35,13 @@
   tl::expected<boost::asio::ip::tcp::endpoint, AddressError> Accept(
       const boost::asio::ip::tcp::endpoint& endpoint);
 
-  // No new connections; each open one ends after the request in progress.
+  // No new connections; each open one ends with its next answer, so that a
+  // request that is already on its way is still answered.
   void Drain();
 
+  // Closes the connections that wait for a request.
+  void CloseIdle();
+
   // Cuts what is left.
   void Close();
 
--- /dev/null
+++ b/src/adapters/stop_signal.cc
@@ -0,0 +1,20 @@
+#include "src/adapters/stop_signal.h"
+
+#include <pthread.h>
+
+namespace tanagerledge {
+
+StopSignal::StopSignal() {
+  sigemptyset(&this->signals);
+  sigaddset(&this->signals, SIGTERM);
+  sigaddset(&this->signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &this->signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+}
+
+void StopSignal::Wait() const {
+  int number = 0;
+  sigwait(&this->signals, &number);
+}
+
+}  // namespace tanagerledge
--- /dev/null
+++ b/src/adapters/stop_signal.h
@@ -0,0 +1,24 @@
+// Waits for SIGTERM or SIGINT. Make it before any thread starts: the signals
+// stay blocked in all threads, so no handler runs amid other code.
+
+#ifndef TANAGERLEDGE_SRC_ADAPTERS_STOP_SIGNAL_H_
+#define TANAGERLEDGE_SRC_ADAPTERS_STOP_SIGNAL_H_
+
+#include <signal.h>
+
+namespace tanagerledge {
+
+class StopSignal {
+ public:
+  StopSignal();
+
+  // Blocks the calling thread until one of the signals has come.
+  void Wait() const;
+
+ private:
+  sigset_t signals{};
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_SRC_ADAPTERS_STOP_SIGNAL_H_
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,388 @@
+#include "src/node/node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/adapters/codec.h"
+#include "src/adapters/fiber_sync.h"
+#include "src/adapters/logging.h"
+#include "src/adapters/net.h"
+#include "src/node/admin.h"
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kControlTick{5};
+constexpr int kTicksPerCheck = 20;  // The back end and readiness.
+constexpr milliseconds kControlTimeout{2000};
+constexpr milliseconds kDrainStep{10};
+// A call that is on its way to this node when it drains must still be answered.
+constexpr milliseconds kDrainGrace{500};
+constexpr std::size_t kDecisionsKept = 512;
+constexpr std::size_t kAuditKept = 1024;
+constexpr std::size_t kMaxAdminBody = 64 * 1024;
+
+Instant Now() {
+  return std::chrono::steady_clock::now();
+}
+
+Incarnation NewIncarnation() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return Incarnation{static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(since).count())};
+}
+
+// Settings have been checked: an address that fails here is a broken invariant.
+boost::asio::ip::tcp::endpoint CheckedAddress(const std::string& text) {
+  return ParseAddress(text).value();
+}
+
+}  // namespace
+
+// What one worker thread owns.
+struct Node::WorkerThread {
+  WorkerThread(Node& node, std::uint64_t seed)
+      : worker(this->loop, node.snapshots, seed),
+        handlers(node.HandlersOf(*this)),
+        peers(this->loop, node.identity, this->handlers, node.peer_counters),
+        front(this->loop, [&node, this](const HttpRequest& request) {
+          return node.entry.Handle(this->worker, request);
+        }) {
+    this->worker.peers = &this->peers;
+  }
+
+  IoLoop loop;
+  Worker worker;
+  PeerHandlers handlers;
+  PeerTransport peers;
+  HttpServer front;
+};
+
+Node::Node(Settings node_settings)
+    : settings(std::move(node_settings)),
+      started_at(Now()),
+      identity{this->settings.fleet, this->settings.address,
+               this->settings.zone, NewIncarnation(), this->settings.delays},
+      decisions(kDecisionsKept),
+      audit(kAuditKept),
+      registry(std::make_shared<prometheus::Registry>()),
+      call_metrics(*this->registry),
+      control_peers(this->control,
+                    this->identity,
+                    this->no_handlers,
+                    this->peer_counters),
+      log(this->control, CheckedAddress(this->settings.log_address)),
+      datagrams(this->control, this->settings.address),
+      suspects(this->control, this->control_peers, this->settings.address),
+      once(this->control,
+           this->control_peers,
+           this->log,
+           {this->settings.address, this->settings.zone,
+            this->identity.incarnation}),
+      executor(this->back_end, this->suspects, this->once, this->decisions),
+      entry(this->settings.address,
+            this->settings.zone,
+            this->executor,
+            this->chooser,
+            this->call_metrics,
+            this->decisions) {
+  MembershipConfig member_config;
+  member_config.self = this->settings.address;
+  member_config.zone = this->settings.zone;
+  member_config.fleet = this->settings.fleet;
+  member_config.incarnation = this->identity.incarnation;
+  member_config.seeds = this->settings.seeds;
+  member_config.seed = this->identity.incarnation.value;
+  member_config.period = this->settings.heartbeat_period;
+  this->membership = std::make_unique<MembershipHost>(
+      this->control, this->control_peers, this->datagrams, member_config,
+      [this](const std::vector<Member>& all) { this->OnMembers(all); });
+  ReleaseHostConfig release_config;
+  release_config.node = this->settings.address;
+  release_config.zone = this->settings.zone;
+  release_config.seed = this->identity.incarnation.value;
+  this->releases = std::make_unique<ReleaseHost>(
+      this->control, this->control_peers, this->log, release_config,
+      [this](std::shared_ptr<const FleetState> next) {
+        this->OnState(std::move(next));
+      });
+  this->admin = std::make_unique<Admin>(*this);
+  HttpLimits limits;
+  limits.max_body_bytes = kMaxAdminBody;
+  this->admin_server = std::make_unique<HttpServer>(
+      this->control,
+      [this](const HttpRequest& request) {
+        return this->admin->Handle(request);
+      },
+      limits);
+}
+
+Node::~Node() = default;
+
+// Start ---------------------------------------------------------------------
+
+tl::expected<void, std::string> Node::Start() {
+  const auto admin_bound = this->admin_server->Accept(
+      CheckedAddress(this->settings.admin_address));
+  if (!admin_bound) {
+    return tl::unexpected("admin address " + admin_bound.error().text);
+  }
+  if (auto started = this->StartWorkers(); !started) {
+    return started;
+  }
+  if (auto opened = this->membership->Start(); !opened) {
+    return tl::unexpected("node address " + opened.error());
+  }
+  this->StartControl();
+  this->control.Start();
+  for (const auto& worker : this->workers) {
+    worker->loop.Start();
+  }
+  LOG_PART(Part::kNode, info)
+      << "Node " << this->settings.address.value << " of fleet "
+      << this->settings.fleet << " started in zone "
+      << this->settings.zone.value << ".";
+  return {};
+}
+
+tl::expected<void, std::string> Node::StartWorkers() {
+  for (int i = 0; i < this->settings.workers; ++i) {
+    const std::uint64_t seed =
+        this->identity.incarnation.value + static_cast<std::uint64_t>(i);
+    auto worker = std::make_unique<WorkerThread>(*this, seed);
+    const auto peer_bound = worker->peers.Accept(
+        CheckedAddress(this->settings.address.value));
+    if (!peer_bound) {
+      return tl::unexpected("node address " + peer_bound.error().text);
+    }
+    const auto front_bound =
+        worker->front.Accept(CheckedAddress(this->settings.front_address));
+    if (!front_bound) {
+      return tl::unexpected("front address " + front_bound.error().text);
+    }
+    this->workers.push_back(std::move(worker));
+  }
+  return {};
+}
+
+// Calls run on the worker that got the frame; all else goes to the control
+// loop, where its machine lives.
+PeerHandlers Node::HandlersOf(WorkerThread& worker) {
+  PeerHandlers handlers;
+  const auto index = [](Channel channel) {
+    return static_cast<std::size_t>(channel);
+  };
+  handlers.on_request[index(Channel::kCall)] =
+      [this, &worker](const NodeId&, std::string_view bytes) {
+        const auto request = Decode<wire::CallRequest>(bytes);
+        const wire::CallReply reply =
+            request ? this->executor.Execute(worker.worker.back_end, *request)
+                    : MakeReply(Outcome::kNotRun, Reason::kBadRequest,
+                                "the request could not be decoded");
+        return Encode(reply);
+      };
+  const auto on_control = [this](auto answer) {
+    return [this, answer](const NodeId& from, std::string_view bytes) {
+      const auto reply =
+          RunOn(this->control, Now() + kControlTimeout,
+                [answer, from, held = std::string(bytes)] {
+                  return answer(from, held);
+                });
+      return reply.value_or(std::string());
+    };
+  };
+  const auto membership_answer = on_control(
+      [this](const NodeId& from, const std::string& bytes) {
+        return this->membership->OnPeerRequest(from, bytes);
+      });
+  handlers.on_request[index(Channel::kMembership)] = membership_answer;
+  handlers.on_request[index(Channel::kReach)] = membership_answer;
+  handlers.on_request[index(Channel::kRelease)] =
+      on_control([this](const NodeId& from, const std::string& bytes) {
+        return this->releases->OnPeerRequest(from, bytes);
+      });
+  handlers.on_request[index(Channel::kOnce)] =
+      on_control([this](const NodeId& from, const std::string& bytes) {
+        return this->once.OnPeerRequest(from, bytes);
+      });
+  handlers.on_request[index(Channel::kSuspects)] =
+      on_control([this](const NodeId& from, const std::string& bytes) {
+        return this->suspects.OnPeerRequest(from, bytes);
+      });
+  handlers.on_message[index(Channel::kRelease)] =
+      [this](const NodeId& from, std::string_view bytes) {
+        this->control.Spawn([this, from, held = std::string(bytes)] {
+          this->releases->OnPeerMessage(from, held);
+        });
+      };
+  handlers.on_message[index(Channel::kOnce)] =
+      [this](const NodeId& from, std::string_view bytes) {
+        this->control.Spawn([this, from, held = std::string(bytes)] {
+          this->once.OnPeerMessage(from, held);
+        });
+      };
+  return handlers;
+}
+
+void Node::StartControl() {
+  this->suspects.Start();
+  this->once.Start();
+  this->releases->Start();
+  this->control.Spawn([this] { this->RunControlTicks(); });
+}
+
+void Node::RunControlTicks() {
+  int ticks = 0;
+  while (this->control.SleepFor(kControlTick)) {
+    this->executor.OnTick();
+    if (++ticks % kTicksPerCheck == 0) {
+      this->CheckBackEnd();
+    }
+    this->CheckReady();
+  }
+}
+
+// A back end that fell silent or died is told to the fleet as gone.
+void Node::CheckBackEnd() {
+  if (this->told_state != EndpointState::kGone &&
+      !this->back_end.Current(Now())) {
+    this->audit.Add(Part::kBackEnd, "back end gone", "it is silent or died");
+    this->TellBackEndState({}, EndpointState::kGone);
+  }
+}
+
+void Node::CheckReady() {
+  const bool can_serve = this->releases->IsReady() && this->state != nullptr;
+  if (can_serve == this->entry.ready.load()) {
+    return;
+  }
+  this->entry.ready.store(can_serve);
+  const std::string reason =
+      can_serve ? "release " + std::to_string(this->state->release.value)
+                : this->releases->NotReadyReason();
+  this->audit.Add(Part::kNode, can_serve ? "ready" : "not ready", reason);
+  LOG_PART(Part::kAudit, info)
+      << "Node is " << (can_serve ? "ready: " : "not ready: ") << reason << ".";
+}
+
+// Events --------------------------------------------------------------------
+
+void Node::OnState(std::shared_ptr<const FleetState> next) {
+  this->state = std::move(next);
+  this->executor.OnPolicies(this->state->ranks);
+  this->RebuildSnapshot();
+  this->membership->SetInForce(this->state->release);
+  this->audit.Add(Part::kRelease,
+                  "release " + std::to_string(this->state->release.value) +
+                      " in force",
+                  "");
+  LOG_PART(Part::kAudit, info)
+      << "Release " << this->state->release.value << " is in force.";
+}
+
+void Node::OnMembers(const std::vector<Member>& all) {
+  this->members = all;
+  this->releases->SetMembers(all);
+  this->once.SetMembers(all);
+  const auto own = this->back_end.Current(Now());
+  this->suspects.SetMembers(all, own ? own->service : ServiceName{});
+  this->RebuildSnapshot();
+}
+
+// Endpoints and routes change in one step: a call sees both or neither.
+void Node::RebuildSnapshot() {
+  if (!this->state) {
+    return;
+  }
+  std::vector<Endpoint> endpoints;
+  for (const Member& member : this->members) {
+    const bool lives = member.state == MemberState::kAlive ||
+                       member.state == MemberState::kSuspect;
+    const bool serves =
+        member.endpoint && member.endpoint->state != EndpointState::kGone;
+    if (lives && serves) {
+      endpoints.push_back(*member.endpoint);
+    }
+  }
+  this->snapshots.Store(
+      std::make_shared<const Snapshot>(this->state, std::move(endpoints)));
+}
+
+void Node::OnAnnounced(const Announcement& announcement) {
+  const bool changed = this->back_end.OnAnnounced(announcement, Now());
+  if (!changed && this->told_state != EndpointState::kGone) {
+    return;
+  }
+  const auto current = this->back_end.Current(Now());
+  this->executor.OnAnnounced(*current);
+  this->TellBackEndState(*current, current->state);
+  this->audit.Add(Part::kBackEnd,
+                  "back end " + current->back_end.value + " announced",
+                  "service " + current->service.value);
+}
+
+void Node::OnBackEndDrain() {
+  this->back_end.OnDrain();
+  this->executor.OnDrain();
+  this->membership->Drain();
+  this->told_state = EndpointState::kDraining;
+  this->audit.Add(Part::kBackEnd, "back end draining", "it asked for it");
+  LOG_PART(Part::kBackEnd, info) << "The back end is draining.";
+}
+
+void Node::TellBackEndState(const Announcement& announcement,
+                            EndpointState told) {
+  this->told_state = told;
+  if (told == EndpointState::kDraining) {
+    this->membership->Drain();
+    return;
+  }
+  Endpoint endpoint;
+  endpoint.node = this->settings.address;
+  endpoint.zone = this->settings.zone;
+  endpoint.service = announcement.service;
+  endpoint.slots = announcement.slots;
+  endpoint.state = told;
+  endpoint.since = Now();
+  this->membership->Announce(endpoint);
+}
+
+// End -----------------------------------------------------------------------
+
+void Node::Shutdown() {
+  const Instant until = Now() + this->settings.drain_timeout;
+  LOG_PART(Part::kNode, info) << "Draining.";
+  this->control.Spawn([this] { this->OnBackEndDrain(); });
+  for (const auto& worker : this->workers) {
+    worker->loop.Spawn([&worker = *worker] { worker.front.Drain(); });
+  }
+  std::this_thread::sleep_for(
+      std::min<milliseconds>(kDrainGrace, this->settings.drain_timeout));
+  while (this->executor.calls_in_progress() > 0 && Now() < until) {
+    std::this_thread::sleep_for(kDrainStep);
+  }
+  this->control.Spawn([this] {
+    this->membership->Leave();
+    this->membership->Stop();
+    this->admin_server->Close();
+    this->control_peers.Close();
+    this->log.Close();
+    this->datagrams.Close();
+    this->control.Stop();
+  });
+  this->control.Join();
+  for (const auto& worker : this->workers) {
+    worker->loop.Spawn([&worker = *worker] {
+      worker.front.Close();
+      worker.peers.Close();
+      worker.worker.back_end.Close();
+      worker.loop.Stop();
+    });
+    worker->loop.Join();
+  }
+  LOG_PART(Part::kNode, info) << "Ended.";
+}
+
+}  // namespace tanagerledge
