--- /dev/null
+++ b/src/load/load_run.cc
@@ -0,0 +1,252 @@
+#include "src/load/load_run.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "src/adapters/net.h"
+#include "src/node/call_headers.h"
+#include "src/node/call_messages.h"
+#include "tanagerledge/outcome.h"
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kIdleConnections = 64;
+constexpr milliseconds kWaitStep{5};
+constexpr std::int64_t kMaxReleaseNumber = std::int64_t{1} << 62;
+constexpr int kServerError = 500;
+
+Instant Now() {
+  return std::chrono::steady_clock::now();
+}
+
+}  // namespace
+
+microseconds KindReport::Percentile(double percent) const {
+  if (this->times.empty()) {
+    return microseconds{0};
+  }
+  std::vector<microseconds> sorted = this->times;
+  std::ranges::sort(sorted);
+  const double rank = std::ceil(percent / 100 * sorted.size());
+  const auto index = static_cast<std::size_t>(std::max(rank, 1.0)) - 1;
+  return sorted[std::min(index, sorted.size() - 1)];
+}
+
+LoadRun::LoadRun(IoLoop& io_loop, LoadPlan load_plan)
+    : loop(io_loop), plan(std::move(load_plan)), random(this->plan.seed) {
+  HttpClientOptions options;
+  options.max_idle_connections = kIdleConnections;
+  for (const std::string& front : this->plan.fronts) {
+    this->fronts.push_back(
+        {std::make_unique<HttpClient>(this->loop, ParseAddress(front).value(),
+                                      options),
+         0});
+  }
+  for (const CallKind& kind : this->plan.kinds) {
+    this->total.kinds.emplace_back().name = kind.name;
+  }
+}
+
+LoadReportTotal LoadRun::Run() {
+  this->end = Now() + this->plan.duration;
+  for (std::size_t kind = 0; kind < this->plan.kinds.size(); ++kind) {
+    ++this->open_fibers;
+    this->loop.SpawnHere([this, kind] {
+      this->SendKind(kind);
+      --this->open_fibers;
+    });
+  }
+  while (this->open_fibers > 0 && this->loop.SleepFor(kWaitStep)) {
+  }
+  for (const Front& front : this->fronts) {
+    front.client->Close();
+  }
+  return std::move(this->total);
+}
+
+// Arrivals are random and do not wait for answers.
+void LoadRun::SendKind(std::size_t kind) {
+  std::exponential_distribution<double> gap(
+      this->plan.kinds[kind].calls_per_second);
+  Instant next = Now();
+  while (true) {
+    next += std::chrono::duration_cast<Instant::duration>(
+        std::chrono::duration<double>(gap(this->random)));
+    if (next >= this->end) {
+      return;
+    }
+    const Instant now = Now();
+    if (next > now && !this->loop.SleepFor(next - now)) {
+      return;
+    }
+    ++this->open_fibers;
+    this->loop.SpawnHere([this, kind] {
+      this->SendCall(kind);
+      --this->open_fibers;
+    });
+  }
+}
+
+void LoadRun::SendCall(std::size_t kind_index) {
+  const CallKind& kind = this->plan.kinds[kind_index];
+  KindReport& report = this->total.kinds[kind_index];
+  const std::string key = kind.keyed ? this->NewKey() : std::string();
+  ++report.sent;
+  const int attempts = kind.keyed ? this->plan.resends + 1 : 1;
+  for (int attempt = 1; attempt <= attempts; ++attempt) {
+    const std::string outcome =
+        this->SendOnce(kind, report, key, attempt == attempts);
+    if (outcome != ToText(Outcome::kUnknown)) {
+      return;
+    }
+    ++report.resent;
+  }
+  --report.resent;
+}
+
+// One send; its outcome as text. An unknown one counts only when it is final.
+std::string LoadRun::SendOnce(const CallKind& kind,
+                              KindReport& report,
+                              const std::string& key,
+                              bool last) {
+  Front& front = this->fronts[this->next_front++ % this->fronts.size()];
+  HttpRequest request;
+  request.method = kind.method;
+  request.target = kind.path;
+  const auto customer = this->random() % this->plan.customers;
+  request.headers.push_back(
+      {std::string(kCustomerHeader), "customer-" + std::to_string(customer)});
+  if (!key.empty()) {
+    request.headers.push_back({std::string(kKeyHeader), key});
+    request.body = key;
+  }
+  const Instant start = Now();
+  this->loop.SleepFor(this->plan.one_way_delay);
+  const auto answer = front.client->Send(request, this->plan.timeout);
+  this->loop.SleepFor(this->plan.one_way_delay);
+  const auto took = std::chrono::duration_cast<microseconds>(Now() - start);
+  std::string outcome(ToText(Outcome::kUnknown));
+  std::string reason = "no-answer";
+  if (answer) {
+    outcome = answer->Header(kOutcomeHeader);
+    reason = answer->Header(kReasonHeader);
+    this->NoteRelease(front, answer->Header(kReleaseHeader));
+  } else if (!answer.error().may_have_arrived) {
+    outcome = ToText(Outcome::kNotRun);
+    reason = "entry-unreachable";
+  }
+  if (outcome == ToText(Outcome::kOk)) {
+    const bool failed = answer->status >= kServerError;
+    ++(failed ? report.failed : report.ok);
+    report.times.push_back(took);
+    if (!key.empty()) {
+      report.ok_keys.push_back(key);
+    }
+    return outcome;
+  }
+  if (outcome == ToText(Outcome::kNotRun)) {
+    ++report.not_run;
+    ++report.reasons[reason];
+    if (!key.empty()) {
+      report.not_run_keys.push_back(key);
+    }
+  } else if (last) {
+    ++report.unknown;
+    ++report.reasons[reason];
+  }
+  return outcome;
+}
+
+void LoadRun::NoteRelease(Front& front, std::string_view release) {
+  const auto number =
+      static_cast<std::uint64_t>(NumberOr(release, 0, kMaxReleaseNumber));
+  // Only answers in force count: release 0 is that of a node not ready.
+  if (number != 0 && number < front.newest_release) {
+    ++this->total.releases_went_back;
+  }
+  front.newest_release = std::max(front.newest_release, number);
+}
+
+// A UUID version 7: its time is the time of the call.
+std::string LoadRun::NewKey() {
+  const auto ms = std::chrono::duration_cast<milliseconds>(
+                      std::chrono::system_clock::now().time_since_epoch())
+                      .count();
+  const std::uint64_t high = this->random();
+  const std::uint64_t low = this->random();
+  std::array<char, 37> text{};
+  std::snprintf(text.data(), text.size(), "%08llx-%04llx-7%03llx-%04llx-%012llx",
+                static_cast<unsigned long long>(ms >> 16),
+                static_cast<unsigned long long>(ms & 0xffff),
+                static_cast<unsigned long long>(high & 0xfff),
+                static_cast<unsigned long long>(0x8000 | (low >> 48 & 0x3fff)),
+                static_cast<unsigned long long>(low & 0xffffffffffff));
+  return text.data();
+}
+
+// Reports -------------------------------------------------------------------
+
+std::string ToTable(const LoadReportTotal& report,
+                    milliseconds duration) {
+  std::string table;
+  std::array<char, 256> line{};
+  std::snprintf(line.data(), line.size(),
+                "%-14s %8s %8s %8s %8s %8s %8s %9s %9s %9s\n", "calls", "sent",
+                "ok", "failed", "not-run", "unknown", "resent", "ok/s",
+                "p50 ms", "p99 ms");
+  table += line.data();
+  const double seconds = std::chrono::duration<double>(duration).count();
+  for (const KindReport& kind : report.kinds) {
+    std::snprintf(
+        line.data(), line.size(),
+        "%-14s %8llu %8llu %8llu %8llu %8llu %8llu %9.1f %9.2f %9.2f\n",
+        kind.name.c_str(), static_cast<unsigned long long>(kind.sent),
+        static_cast<unsigned long long>(kind.ok),
+        static_cast<unsigned long long>(kind.failed),
+        static_cast<unsigned long long>(kind.not_run),
+        static_cast<unsigned long long>(kind.unknown),
+        static_cast<unsigned long long>(kind.resent),
+        static_cast<double>(kind.ok) / seconds,
+        static_cast<double>(kind.Percentile(50).count()) / 1000,
+        static_cast<double>(kind.Percentile(99).count()) / 1000);
+    table += line.data();
+    for (const auto& [reason, count] : kind.reasons) {
+      std::snprintf(line.data(), line.size(), "  %-12s %8llu\n",
+                    reason.c_str(), static_cast<unsigned long long>(count));
+      table += line.data();
+    }
+  }
+  table += "releases that went back at an entry: " +
+           std::to_string(report.releases_went_back) + "\n";
+  return table;
+}
+
+nlohmann::json ToJson(const LoadReportTotal& report) {
+  nlohmann::json kinds = nlohmann::json::array();
+  for (const KindReport& kind : report.kinds) {
+    kinds.push_back({{"name", kind.name},
+                     {"sent", kind.sent},
+                     {"resent", kind.resent},
+                     {"ok", kind.ok},
+                     {"failed", kind.failed},
+                     {"not_run", kind.not_run},
+                     {"unknown", kind.unknown},
+                     {"reasons", kind.reasons},
+                     {"p50_us", kind.Percentile(50).count()},
+                     {"p99_us", kind.Percentile(99).count()},
+                     {"ok_keys", kind.ok_keys},
+                     {"not_run_keys", kind.not_run_keys}});
+  }
+  return {{"kinds", std::move(kinds)},
+          {"releases_went_back", report.releases_went_back}};
+}
+
+}  // namespace tanagerledge
