Membership: SWIM machine, datagrams and host, thin

A pure machine with probes, suspicion, gossip, zone checks and anti-entropy by digests of buckets; UDP port; host on the control loop.

--- /dev/null
+++ b/benchmarks/membership_benchmark.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
--- /dev/null
+++ b/include/tanagerledge/membership.h
@@ -0,0 +1,131 @@
+// Who lives in the fleet and what each node says of its back end.
+//
+//   Membership membership(config, now);
+//   for (auto& action : membership.Tick(now)) { ... }           // every `tick`
+//   for (auto& action : membership.OnDatagram(from, m, now)) { ... }
+//   if (membership.TakeChanged()) { use(membership.Members(now)); }
+//
+// A pure machine: events and the time in, actions out. It follows SWIM: one
+// probe a period, indirect probes, suspicion that the accused refutes, updates
+// spread by gossip. A digest of the table by buckets repairs what gossip lost.
+// Each node alone speaks for its back end; others only judge whether it lives.
+
+#ifndef TANAGERLEDGE_MEMBERSHIP_H_
+#define TANAGERLEDGE_MEMBERSHIP_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "membership_types.h"
+#include "tanagerledge/member.h"
+#include "tanagerledge/reach.h"
+#include "tanagerledge/types.h"
+
+namespace tanagerledge {
+
+// Settings ------------------------------------------------------------------
+
+struct MembershipConfig {
+  NodeId self;
+  Zone zone;
+  std::string fleet;
+  Incarnation incarnation;  // Wall time in ms at the start of the process.
+  std::vector<NodeId> seeds;
+  std::uint64_t seed = 0;  // Of the random engine.
+
+  std::chrono::milliseconds period{1000};  // Between probes.
+  std::chrono::milliseconds tick{100};     // Between calls of Tick.
+  std::chrono::milliseconds probe_timeout{300};
+  std::chrono::milliseconds suspicion{4000};  // To refute before death.
+  std::chrono::milliseconds sync_interval{20000};
+  std::chrono::milliseconds tombstone_life{600000};
+  std::size_t gossip_bytes_per_second = 2500;
+};
+
+inline constexpr std::size_t kMaxDatagramBytes = 1400;
+
+// Actions -------------------------------------------------------------------
+
+// What bytes are spent on.
+enum class MembershipPurpose { kProbe = 0, kGossip, kDigest, kSync, kReach };
+inline constexpr std::size_t kMembershipPurposeCount = 5;
+
+struct SendDatagram {
+  NodeId to;
+  wire::MembershipDatagram message;
+  MembershipPurpose purpose = MembershipPurpose::kProbe;
+};
+
+// Ask a peer over a connection; the reply goes to OnSyncReply.
+struct SendSync {
+  NodeId to;
+  wire::SyncRequest request;
+};
+
+using MembershipAction = std::variant<SendDatagram, SendSync>;
+using MembershipActions = std::vector<MembershipAction>;
+
+// Machine -------------------------------------------------------------------
+
+class Membership {
+ public:
+  Membership(MembershipConfig config, Instant now);
+  ~Membership();
+  Membership(const Membership&) = delete;
+  Membership& operator=(const Membership&) = delete;
+
+  // Events ---------------------------------------------------------------
+
+  MembershipActions Tick(Instant now);
+  MembershipActions OnDatagram(const NodeId& from,
+                               const wire::MembershipDatagram& message,
+                               Instant now);
+  wire::SyncReply OnSyncRequest(const NodeId& from,
+                                const wire::SyncRequest& request,
+                                Instant now);
+  void OnSyncReply(const NodeId& from,
+                   const wire::SyncReply& reply,
+                   Instant now);
+
+  // What this node says of itself ------------------------------------------
+
+  // The back end's service, slots and state; `since` is when it entered it.
+  void Announce(const Endpoint& endpoint, Instant now);
+  // Tells the fleet that the back end takes no new work. Idempotent.
+  void Drain(Instant now);
+  // Tells the fleet that this node goes. It answers probes no more.
+  MembershipActions Leave(Instant now);
+  void SetInForce(ReleaseNumber release);
+
+  // What this node knows ---------------------------------------------------
+
+  // Every member with this node, the dead until their tombstones end.
+  std::vector<Member> Members(Instant now) const;
+  // This node as it tells others.
+  Member Self() const;
+  // True once after something that Members shows has changed.
+  bool TakeChanged();
+  // Nobody answers: the table is kept as it was, nobody is declared dead.
+  bool isolated() const;
+  std::size_t live_members() const;
+  Incarnation incarnation() const;
+
+  // Reach ------------------------------------------------------------------
+
+  // Who sums up each zone: to be asked with a ReachQuery.
+  std::vector<std::pair<Zone, NodeId>> ZoneSummarizers() const;
+  wire::ReachReply OnReachQuery(const wire::ReachQuery& query, Instant now);
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_MEMBERSHIP_H_
--- /dev/null
+++ b/src/membership/member_wire.cc
@@ -0,0 +1,125 @@
+#include "src/membership/member_wire.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Field headers, numbers at their largest and list lengths in the compact
+// protocol: an update's bytes beside its names.
+constexpr std::size_t kAccusationBytes = 20;
+constexpr std::size_t kWholeBytes = 24;
+constexpr std::size_t kAnnouncementBytes = 26;
+
+// Longer than any warm-up: what is older is all the same.
+constexpr milliseconds kMaxAge = std::chrono::hours(24);
+
+bool InRange(std::int64_t value, std::int64_t low, std::int64_t high) {
+  return value >= low && value <= high;
+}
+
+bool IsValid(const wire::Announcement& announcement) {
+  return !announcement.service_name.empty() &&
+         announcement.service_name.size() <= kMaxServiceBytes &&
+         InRange(announcement.slots, 0, kMaxSlots) &&
+         InRange(announcement.state, 0, static_cast<int>(EndpointState::kGone));
+}
+
+}  // namespace
+
+bool IsValid(const wire::MemberUpdate& update) {
+  const bool named = !update.node.empty() &&
+                     update.node.size() <= kMaxNodeBytes &&
+                     update.zone.size() <= kMaxZoneBytes;
+  const bool in_range =
+      InRange(update.incarnation, 0, kMaxIncarnation) &&
+      InRange(update.state, 0, static_cast<int>(MemberState::kLeft)) &&
+      update.version >= 0;
+  return named && in_range &&
+         (!update.__isset.announcement || IsValid(update.announcement));
+}
+
+bool IsWhole(const wire::MemberUpdate& update) {
+  return update.__isset.zone && update.__isset.version;
+}
+
+std::optional<BackEndWord> WordOf(const wire::MemberUpdate& update,
+                                  Instant now) {
+  if (!update.__isset.announcement) {
+    return std::nullopt;
+  }
+  const auto& announcement = update.announcement;
+  const auto age =
+      std::clamp(milliseconds(announcement.age_ms), milliseconds(0), kMaxAge);
+  return BackEndWord{{announcement.service_name},
+                     announcement.slots,
+                     static_cast<EndpointState>(announcement.state),
+                     now - age};
+}
+
+wire::MemberUpdate WholeUpdate(const MemberTable& table,
+                               Slot slot,
+                               Instant now) {
+  const MemberRecord& record = table.at(slot);
+  wire::MemberUpdate update;
+  update.node = record.node.value;
+  update.incarnation = static_cast<std::int64_t>(record.incarnation.value);
+  update.state = static_cast<int>(record.state);
+  update.__set_zone(table.ZoneName(record.zone).value);
+  update.__set_version(static_cast<int>(record.version));
+  if (record.word) {
+    const auto age = std::clamp(
+        std::chrono::duration_cast<milliseconds>(now - record.word->since),
+        milliseconds(0), kMaxAge);
+    wire::Announcement announcement;
+    announcement.service_name = record.word->service.value;
+    announcement.slots = record.word->slots;
+    announcement.state = static_cast<int>(record.word->state);
+    announcement.age_ms = age.count();
+    update.__set_announcement(announcement);
+  }
+  return update;
+}
+
+wire::MemberUpdate GossipUpdate(const MemberTable& table,
+                                Slot slot,
+                                Instant now) {
+  const MemberRecord& record = table.at(slot);
+  if (record.state == MemberState::kAlive) {
+    return WholeUpdate(table, slot, now);
+  }
+  wire::MemberUpdate update;
+  update.node = record.node.value;
+  update.incarnation = static_cast<std::int64_t>(record.incarnation.value);
+  update.state = static_cast<int>(record.state);
+  return update;
+}
+
+std::size_t SizeBound(const wire::MemberUpdate& update) {
+  std::size_t bytes = kAccusationBytes + update.node.size();
+  if (update.__isset.zone) {
+    bytes += kWholeBytes + update.zone.size();
+  }
+  if (update.__isset.announcement) {
+    bytes += kAnnouncementBytes + update.announcement.service_name.size();
+  }
+  return bytes;
+}
+
+Member ToMember(const MemberTable& table, Slot slot) {
+  const MemberRecord& record = table.at(slot);
+  Member member{record.node,        table.ZoneName(record.zone),
+                record.incarnation, record.state,
+                std::nullopt,       record.release};
+  if (record.word) {
+    member.endpoint =
+        Endpoint{record.node,        record.word->service, member.zone,
+                 record.word->state, record.word->slots,   record.word->since};
+  }
+  return member;
+}
+
+}  // namespace tanagerledge
--- /dev/null
+++ b/src/node/membership_host.cc
@@ -0,0 +1,260 @@
+#include "src/node/membership_host.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "src/adapters/codec.h"
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kSyncTimeout{3000};
+constexpr milliseconds kReachTimeout{1000};
+
+Instant Now() {
+  return std::chrono::steady_clock::now();
+}
+
+MembershipPurpose PurposeOf(wire::DatagramKind::type kind) {
+  switch (kind) {
+    case wire::DatagramKind::GOSSIP:
+      return MembershipPurpose::kGossip;
+    case wire::DatagramKind::DIGEST:
+    case wire::DatagramKind::DIGEST_DIFFERENCE:
+      return MembershipPurpose::kDigest;
+    case wire::DatagramKind::REACH:
+      return MembershipPurpose::kReach;
+    default:
+      return MembershipPurpose::kProbe;
+  }
+}
+
+}  // namespace
+
+MembershipHost::MembershipHost(IoLoop& io_loop,
+                               PeerPort& peer_port,
+                               DatagramPort& datagram_port,
+                               MembershipConfig machine_config,
+                               ChangeHandler change_handler)
+    : loop(io_loop),
+      peers(peer_port),
+      datagrams(datagram_port),
+      fleet(machine_config.fleet),
+      self(machine_config.self),
+      tick(machine_config.tick),
+      machine(std::move(machine_config), Now()),
+      on_change(std::move(change_handler)) {}
+
+MembershipHost::~MembershipHost() = default;
+
+tl::expected<void, std::string> MembershipHost::Start() {
+  auto opened =
+      this->datagrams.Open([this](const NodeId& from, std::string_view bytes) {
+        this->OnDatagram(from, bytes);
+      });
+  if (opened) {
+    this->loop.Spawn([this] { this->RunTicks(); });
+  }
+  return opened;
+}
+
+void MembershipHost::Stop() {
+  this->stopped = true;
+  this->datagrams.Close();
+}
+
+void MembershipHost::RunTicks() {
+  while (!this->stopped && this->loop.SleepFor(this->tick)) {
+    const Instant now = Now();
+    this->Perform(this->machine.Tick(now));
+    this->ReportChange(now);
+  }
+  if (!this->stopped) {
+    this->Stop();
+  }
+}
+
+void MembershipHost::ReportChange(Instant now) {
+  if (now - this->last_report < kChangeInterval ||
+      !this->machine.TakeChanged()) {
+    return;
+  }
+  this->last_report = now;
+  ++this->traffic.changes;
+  this->on_change(this->machine.Members(now));
+}
+
+// Actions -------------------------------------------------------------------
+
+void MembershipHost::Perform(MembershipActions actions) {
+  for (auto& action : actions) {
+    std::visit(
+        [this]<typename Action>(Action& each) {
+          if constexpr (std::is_same_v<Action, SendDatagram>) {
+            this->SendNow(each);
+          } else {
+            this->StartSync(std::move(each));
+          }
+        },
+        action);
+  }
+}
+
+void MembershipHost::SendNow(const SendDatagram& action) {
+  const std::string bytes = Encode(action.message);
+  this->CountSent(action.purpose, bytes.size());
+  this->datagrams.Send(action.to, bytes);
+}
+
+void MembershipHost::StartSync(SendSync action) {
+  this->loop.Spawn([this, sync = std::move(action)] {
+    wire::MembershipRequest request;
+    request.fleet = this->fleet;
+    request.__set_sync(sync.request);
+    std::string bytes = Encode(request);
+    this->CountSent(MembershipPurpose::kSync, bytes.size());
+    const auto reply = this->peers.Request(sync.to, Channel::kMembership,
+                                           std::move(bytes), kSyncTimeout);
+    if (!reply || this->stopped) {
+      return;
+    }
+    this->CountReceived(MembershipPurpose::kSync, reply->size());
+    const auto decoded = Decode<wire::MembershipReply>(*reply);
+    if (!decoded || !decoded->__isset.sync) {
+      ++this->traffic.malformed;
+      return;
+    }
+    this->machine.OnSyncReply(sync.to, decoded->sync, Now());
+  });
+}
+
+// What this node says of itself ---------------------------------------------
+
+void MembershipHost::Announce(const Endpoint& endpoint) {
+  this->machine.Announce(endpoint, Now());
+}
+
+void MembershipHost::Drain() {
+  this->machine.Drain(Now());
+}
+
+void MembershipHost::Leave() {
+  this->Perform(this->machine.Leave(Now()));
+}
+
+void MembershipHost::SetInForce(ReleaseNumber release) {
+  this->machine.SetInForce(release);
+}
+
+std::vector<Member> MembershipHost::Members() const {
+  return this->machine.Members(Now());
+}
+
+// Messages ------------------------------------------------------------------
+
+void MembershipHost::OnDatagram(const NodeId& from, std::string_view bytes) {
+  const auto message = Decode<wire::MembershipDatagram>(bytes);
+  if (!message || bytes.size() > kMaxDatagramBytes) {
+    ++this->traffic.malformed;
+    return;
+  }
+  this->CountReceived(PurposeOf(message->kind), bytes.size());
+  this->Perform(this->machine.OnDatagram(from, *message, Now()));
+}
+
+std::string MembershipHost::OnPeerRequest(const NodeId& from,
+                                          std::string_view bytes) {
+  const auto request = Decode<wire::MembershipRequest>(bytes);
+  wire::MembershipReply reply;
+  if (!request || request->fleet != this->fleet || this->stopped) {
+    ++this->traffic.malformed;
+    return Encode(reply);
+  }
+  auto purpose = MembershipPurpose::kSync;
+  if (request->__isset.sync) {
+    reply.__set_sync(this->machine.OnSyncRequest(from, request->sync, Now()));
+  } else if (request->__isset.reach) {
+    purpose = MembershipPurpose::kReach;
+    reply.__set_reach(this->machine.OnReachQuery(request->reach, Now()));
+  }
+  this->CountReceived(purpose, bytes.size());
+  std::string encoded = Encode(reply);
+  this->CountSent(purpose, encoded.size());
+  return encoded;
+}
+
+// Reach ---------------------------------------------------------------------
+
+ReachReport MembershipHost::Reach(ReleaseNumber release) {
+  ReachReport report;
+  report.release = release;
+  for (const auto& [zone, summarizer] : this->machine.ZoneSummarizers()) {
+    report.zones.push_back(this->AskZone(zone, summarizer, release));
+  }
+  return report;
+}
+
+ZoneReach MembershipHost::AskZone(const Zone& zone,
+                                  const NodeId& summarizer,
+                                  ReleaseNumber release) {
+  ZoneReach result;
+  result.zone = zone;
+  wire::MembershipRequest request;
+  request.fleet = this->fleet;
+  request.reach.release = static_cast<std::int64_t>(release.value);
+  request.__isset.reach = true;
+  std::string bytes;
+  if (summarizer == this->self) {
+    bytes = this->OnPeerRequest(this->self, Encode(request));
+  } else {
+    auto reply = this->peers.Request(summarizer, Channel::kReach,
+                                     Encode(request), kReachTimeout);
+    if (!reply) {
+      return result;
+    }
+    bytes = std::move(*reply);
+  }
+  const auto reply = Decode<wire::MembershipReply>(bytes);
+  if (!reply || !reply->__isset.reach) {
+    return result;
+  }
+  result.answered = true;
+  result.members =
+      static_cast<std::size_t>(std::clamp(reply->reach.members, 0, 1 << 20));
+  for (const auto& count : reply->reach.reach.counts) {
+    if (count.release >= request.reach.release && count.nodes > 0) {
+      result.in_force += static_cast<std::size_t>(count.nodes);
+    }
+  }
+  for (const auto& laggard : reply->reach.reach.laggards) {
+    if (result.laggards.size() < kMaxLaggards &&
+        laggard.release < request.reach.release && laggard.release >= 0) {
+      result.laggards.push_back(
+          {{laggard.node},
+           {static_cast<std::uint64_t>(laggard.release)},
+           static_cast<LagReason>(std::clamp(laggard.reason, 0, 2))});
+    }
+  }
+  return result;
+}
+
+// Counters ------------------------------------------------------------------
+
+void MembershipHost::CountSent(MembershipPurpose purpose, std::size_t bytes) {
+  auto& counts = this->traffic.by_purpose[static_cast<std::size_t>(purpose)];
+  ++counts.sent_messages;
+  counts.sent_bytes += bytes;
+}
+
+void MembershipHost::CountReceived(MembershipPurpose purpose,
+                                   std::size_t bytes) {
+  auto& counts = this->traffic.by_purpose[static_cast<std::size_t>(purpose)];
+  ++counts.received_messages;
+  counts.received_bytes += bytes;
+}
+
+}  // namespace tanagerledge
