--- a/apps/tanagerledge_load_main.cc
+++ b/apps/tanagerledge_load_main.cc
@@ -99,10 +99,9 @@
     }
     plan.duration = std::chrono::milliseconds(duration);
     plan.customers = customers;
-    plan.one_way_delay = std::chrono::microseconds(
-        arguments["one-way-delay-us"].as<int>());
-    plan.timeout =
-        std::chrono::milliseconds(arguments["timeout-ms"].as<int>());
+    plan.one_way_delay =
+        std::chrono::microseconds(arguments["one-way-delay-us"].as<int>());
+    plan.timeout = std::chrono::milliseconds(arguments["timeout-ms"].as<int>());
     plan.seed = arguments["seed"].as<std::uint64_t>();
     return RunPlan(plan, arguments["json"].as<std::string>());
   } catch (const cxxopts::exceptions::exception& error) {
--- a/fakes/back_end.cc
+++ b/fakes/back_end.cc
@@ -36,10 +36,9 @@
 BackEnd::BackEnd(IoLoop& io_loop, BackEndConfig back_end_config)
     : loop(io_loop),
       config(std::move(back_end_config)),
-      server(io_loop,
-             [this](const HttpRequest& request) {
-               return this->Answer(request);
-             }),
+      server(
+          io_loop,
+          [this](const HttpRequest& request) { return this->Answer(request); }),
       random(this->config.seed),
       started_at(std::chrono::steady_clock::now()) {}
 
@@ -124,10 +123,9 @@
 }
 
 HttpResponse BackEnd::Run(const HttpRequest& request) {
-  const std::int64_t run_by =
-      NumberOr(request.Header(kRunByHeader),
-               std::numeric_limits<std::int64_t>::max(),
-               std::numeric_limits<std::int64_t>::max());
+  const std::int64_t run_by = NumberOr(
+      request.Header(kRunByHeader), std::numeric_limits<std::int64_t>::max(),
+      std::numeric_limits<std::int64_t>::max());
   if (UnixMicroseconds() >= run_by) {
     ++this->expired;
     return this->NotRun("expired");
@@ -166,8 +164,8 @@
 HttpResponse BackEnd::NotRun(const std::string& why) {
   ++this->refused;
   HttpResponse response = MakeResponse(503, "text/plain", why + "\n");
-  response.headers.push_back({std::string(kOutcomeHeader),
-                              std::string(ToText(Outcome::kNotRun))});
+  response.headers.push_back(
+      {std::string(kOutcomeHeader), std::string(ToText(Outcome::kNotRun))});
   return response;
 }
 
--- a/src/load/load_plan.cc
+++ b/src/load/load_plan.cc
@@ -25,10 +25,9 @@
   const std::string& rate = parts[3];
   const auto [end, code] = std::from_chars(
       rate.data(), rate.data() + rate.size(), kind.calls_per_second);
-  const bool rate_good = code == std::errc() &&
-                         end == rate.data() + rate.size() &&
-                         kind.calls_per_second > 0 &&
-                         kind.calls_per_second <= kMaxCallsPerSecond;
+  const bool rate_good =
+      code == std::errc() && end == rate.data() + rate.size() &&
+      kind.calls_per_second > 0 && kind.calls_per_second <= kMaxCallsPerSecond;
   if (!rate_good) {
     return tl::unexpected(whole + ": the rate must be above 0, at most 20000");
   }
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -183,7 +183,8 @@
   const std::uint64_t high = this->random();
   const std::uint64_t low = this->random();
   std::array<char, 37> text{};
-  std::snprintf(text.data(), text.size(), "%08llx-%04llx-7%03llx-%04llx-%012llx",
+  std::snprintf(text.data(), text.size(),
+                "%08llx-%04llx-7%03llx-%04llx-%012llx",
                 static_cast<unsigned long long>(ms >> 16),
                 static_cast<unsigned long long>(ms & 0xffff),
                 static_cast<unsigned long long>(high & 0xfff),
@@ -194,8 +195,7 @@
 
 // Reports -------------------------------------------------------------------
 
-std::string ToTable(const LoadReportTotal& report,
-                    milliseconds duration) {
+std::string ToTable(const LoadReportTotal& report, milliseconds duration) {
   std::string table;
   std::array<char, 256> line{};
   std::snprintf(line.data(), line.size(),
@@ -219,8 +219,8 @@
         static_cast<double>(kind.Percentile(99).count()) / 1000);
     table += line.data();
     for (const auto& [reason, count] : kind.reasons) {
-      std::snprintf(line.data(), line.size(), "  %-12s %8llu\n",
-                    reason.c_str(), static_cast<unsigned long long>(count));
+      std::snprintf(line.data(), line.size(), "  %-12s %8llu\n", reason.c_str(),
+                    static_cast<unsigned long long>(count));
       table += line.data();
     }
   }
--- a/src/load/load_run.h
+++ b/src/load/load_run.h
@@ -22,10 +22,10 @@
 // What became of one kind of calls.
 struct KindReport {
   std::string name;
-  std::uint64_t sent = 0;     // Calls, not counting resends.
+  std::uint64_t sent = 0;  // Calls, not counting resends.
   std::uint64_t resent = 0;
   std::uint64_t ok = 0;
-  std::uint64_t failed = 0;   // Answered by a back end with status 500 or more.
+  std::uint64_t failed = 0;  // Answered by a back end with status 500 or more.
   std::uint64_t not_run = 0;
   std::uint64_t unknown = 0;  // Also when the entry gave no answer.
   std::map<std::string, std::uint64_t> reasons;  // Of those not ok.
--- a/src/node/admin.cc
+++ b/src/node/admin.cc
@@ -152,9 +152,8 @@
 
 HttpResponse Admin::Drain(const HttpRequest& /*request*/) {
   this->node.OnBackEndDrain();
-  return JsonPage(200,
-                  {{"draining", true},
-                   {"running", this->node.executor.calls_in_progress()}});
+  return JsonPage(200, {{"draining", true},
+                        {"running", this->node.executor.calls_in_progress()}});
 }
 
 // Operators -----------------------------------------------------------------
@@ -283,8 +282,7 @@
       MetricType::Gauge,
       {Sample({}, static_cast<double>(status.release.value),
               MetricType::Gauge)});
-  add("tanagerledge_ready", "1 while the node serves calls.",
-      MetricType::Gauge,
+  add("tanagerledge_ready", "1 while the node serves calls.", MetricType::Gauge,
       {Sample({}, this->node.entry.ready.load() ? 1 : 0, MetricType::Gauge)});
   add("tanagerledge_log_reads_total", "Reads of the platform's log.",
       MetricType::Counter,
--- a/src/node/back_end_link.cc
+++ b/src/node/back_end_link.cc
@@ -54,9 +54,8 @@
       socket.close(error);
     }
   });
-  const auto error = AwaitError([&](auto done) {
-    socket.async_connect(*address, std::move(done));
-  });
+  const auto error = AwaitError(
+      [&](auto done) { socket.async_connect(*address, std::move(done)); });
   return error != boost::asio::error::connection_refused;
 }
 
--- a/src/node/back_end_watch.cc
+++ b/src/node/back_end_watch.cc
@@ -26,9 +26,8 @@
 // Text of a member; empty when it is absent or no text.
 std::string TextOf(const nlohmann::json& object, const char* key) {
   const auto found = object.find(key);
-  return found != object.end() && found->is_string()
-             ? found->get<std::string>()
-             : std::string();
+  return found != object.end() && found->is_string() ? found->get<std::string>()
+                                                     : std::string();
 }
 
 // Whole number of a member; 0 when it is absent or none.
--- a/src/node/call_messages.cc
+++ b/src/node/call_messages.cc
@@ -120,13 +120,14 @@
 
 bool IsEndToEnd(std::string_view header_name) {
   constexpr std::array<std::string_view, 7> kOneConnection = {
-      "connection", "content-length", "transfer-encoding", "keep-alive",
-      "host",       "upgrade",        "te"};
+      "connection", "content-length", "transfer-encoding",
+      "keep-alive", "host",           "upgrade",
+      "te"};
   const bool ours = boost::algorithm::istarts_with(header_name, kHeaderPrefix);
-  return !ours && std::ranges::none_of(
-                      kOneConnection, [&](std::string_view name) {
-                        return boost::algorithm::iequals(header_name, name);
-                      });
+  return !ours &&
+         std::ranges::none_of(kOneConnection, [&](std::string_view name) {
+           return boost::algorithm::iequals(header_name, name);
+         });
 }
 
 std::int64_t NumberOr(std::string_view text,
--- a/src/node/entry.cc
+++ b/src/node/entry.cc
@@ -36,6 +36,8 @@
 
 // One call on its way through the entry.
 struct Entry::Call {
+  explicit Call(const HttpRequest& http_request) : request(http_request) {}
+
   const HttpRequest& request;
   Instant arrived{};
   Instant deadline{};
@@ -65,7 +67,7 @@
       decisions(decision_log) {}
 
 HttpResponse Entry::Handle(Worker& worker, const HttpRequest& request) {
-  Call call{request};
+  Call call(request);
   call.arrived = Now();
   wire::CallReply reply;
   if (auto refused = this->Prepare(worker, call)) {
@@ -83,12 +85,11 @@
       std::chrono::duration_cast<microseconds>(Now() - call.arrived);
   this->metrics.Count(call.rank, OutcomeOf(reply), ReasonOf(reply), took);
   if (OutcomeOf(reply) != Outcome::kOk) {
-    this->decisions.Add(Part::kCall,
-                        std::string(ToText(OutcomeOf(reply))) + " " +
-                            request.method + " " +
-                            std::string(request.Path().substr(0, 64)),
-                        std::string(ToText(ReasonOf(reply))) + ": " +
-                            reply.detail);
+    this->decisions.Add(
+        Part::kCall,
+        std::string(ToText(OutcomeOf(reply))) + " " + request.method + " " +
+            std::string(request.Path().substr(0, 64)),
+        std::string(ToText(ReasonOf(reply))) + ": " + reply.detail);
   }
   return response;
 }
@@ -160,8 +161,7 @@
   while (true) {
     const std::optional<NodeId> node = this->Choose(worker, call);
     if (!node) {
-      const bool any =
-          !call.snapshot->EndpointsOf(call.route->service).empty();
+      const bool any = !call.snapshot->EndpointsOf(call.route->service).empty();
       return any ? NotRun(Reason::kOverloaded, "no endpoint takes this rank")
                  : NotRun(Reason::kNoEndpoint, "the service has no endpoint");
     }
@@ -199,8 +199,8 @@
     const auto& endpoints = call.snapshot->EndpointsOf(service);
     const auto found =
         std::ranges::find(endpoints, write->node, &Endpoint::node);
-    const bool tried = std::ranges::find(call.tried, write->node) !=
-                       call.tried.end();
+    const bool tried =
+        std::ranges::find(call.tried, write->node) != call.tried.end();
     if (found != endpoints.end() && !tried &&
         found->state != EndpointState::kDraining &&
         found->state != EndpointState::kGone) {
@@ -274,8 +274,7 @@
       0);
   out.idempotent = call.route->idempotent;
   out.idempotency_key = call.key;
-  out.release =
-      static_cast<std::int64_t>(call.snapshot->fleet().release.value);
+  out.release = static_cast<std::int64_t>(call.snapshot->fleet().release.value);
   out.depth = call.depth;
   out.within_retry = call.within_retry || call.attempts > 1;
   if (const SessionWrite* write = call.session.WriteTo(call.route->service)) {
--- a/src/node/executor.cc
+++ b/src/node/executor.cc
@@ -37,6 +37,9 @@
 
 // One call on its way through the executor.
 struct Executor::Call {
+  explicit Call(const wire::CallRequest& call_request)
+      : request(call_request) {}
+
   const wire::CallRequest& request;
   std::uint64_t id = 0;
   Instant arrived{};
@@ -62,7 +65,7 @@
                                   const wire::CallRequest& request) {
   ++this->in_progress;
   const Instant now = Now();
-  Call call{request};
+  Call call(request);
   call.id = ++this->last_id;
   call.arrived = now;
   call.deadline = now + microseconds(std::clamp<std::int64_t>(
@@ -113,9 +116,8 @@
   if (request.idempotent || request.idempotency_key.empty()) {
     return this->SendToBackEnd(link, call, call.deadline);
   }
-  const OnceKey key{{request.customer},
-                    {request.service_name},
-                    request.idempotency_key};
+  const OnceKey key{
+      {request.customer}, {request.service_name}, request.idempotency_key};
   const OnceVerdict verdict =
       this->once.Begin(key, call.fingerprint, call.deadline);
   if (const auto* refusal = std::get_if<OnceRefusal>(&verdict)) {
@@ -132,8 +134,8 @@
   const auto& ticket = std::get<OnceTicket>(verdict);
   wire::CallReply reply =
       this->SendToBackEnd(link, call, std::min(call.deadline, ticket.run_by));
-  this->once.Finish(
-      ticket, {OutcomeOf(reply), ReasonOf(reply), Encode(reply), false});
+  this->once.Finish(ticket,
+                    {OutcomeOf(reply), ReasonOf(reply), Encode(reply), false});
   return reply;
 }
 
@@ -173,10 +175,10 @@
   }
   this->suspects.RanSafely(call.fingerprint, call.suspect);
   if (answer->Header(kOutcomeHeader) == ToText(Outcome::kNotRun)) {
-    const Reason reason = answer->Header(kReasonHeader) ==
-                                  ToText(Reason::kSessionBehind)
-                              ? Reason::kSessionBehind
-                              : Reason::kBackEndRefused;
+    const Reason reason =
+        answer->Header(kReasonHeader) == ToText(Reason::kSessionBehind)
+            ? Reason::kSessionBehind
+            : Reason::kBackEndRefused;
     return MakeReply(Outcome::kNotRun, reason, "the back end did not run it");
   }
   wire::CallReply reply = MakeReply(Outcome::kOk, Reason::kNone, "");
@@ -307,9 +309,8 @@
 }
 
 void Executor::OnTick() {
-  this->WithAdmission([](AdmissionController& controller) {
-    return controller.OnTick(Now());
-  });
+  this->WithAdmission(
+      [](AdmissionController& controller) { return controller.OnTick(Now()); });
 }
 
 LoadReport Executor::Report() const {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -1,6 +1,7 @@
 #include "src/node/node.h"
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 #include "src/adapters/codec.h"
@@ -8,6 +9,7 @@
 #include "src/adapters/logging.h"
 #include "src/adapters/net.h"
 #include "src/node/admin.h"
+#include "src/node/call_messages.h"
 
 namespace tanagerledge {
 namespace {
@@ -124,8 +126,8 @@
 // Start ---------------------------------------------------------------------
 
 tl::expected<void, std::string> Node::Start() {
-  const auto admin_bound = this->admin_server->Accept(
-      CheckedAddress(this->settings.admin_address));
+  const auto admin_bound =
+      this->admin_server->Accept(CheckedAddress(this->settings.admin_address));
   if (!admin_bound) {
     return tl::unexpected("admin address " + admin_bound.error().text);
   }
@@ -152,8 +154,8 @@
     const std::uint64_t seed =
         this->identity.incarnation.value + static_cast<std::uint64_t>(i);
     auto worker = std::make_unique<WorkerThread>(*this, seed);
-    const auto peer_bound = worker->peers.Accept(
-        CheckedAddress(this->settings.address.value));
+    const auto peer_bound =
+        worker->peers.Accept(CheckedAddress(this->settings.address.value));
     if (!peer_bound) {
       return tl::unexpected("node address " + peer_bound.error().text);
     }
@@ -185,16 +187,15 @@
       };
   const auto on_control = [this](auto answer) {
     return [this, answer](const NodeId& from, std::string_view bytes) {
-      const auto reply =
-          RunOn(this->control, Now() + kControlTimeout,
-                [answer, from, held = std::string(bytes)] {
-                  return answer(from, held);
-                });
+      const auto reply = RunOn(this->control, Now() + kControlTimeout,
+                               [answer, from, held = std::string(bytes)] {
+                                 return answer(from, held);
+                               });
       return reply.value_or(std::string());
     };
   };
-  const auto membership_answer = on_control(
-      [this](const NodeId& from, const std::string& bytes) {
+  const auto membership_answer =
+      on_control([this](const NodeId& from, const std::string& bytes) {
         return this->membership->OnPeerRequest(from, bytes);
       });
   handlers.on_request[index(Channel::kMembership)] = membership_answer;
@@ -217,12 +218,12 @@
           this->releases->OnPeerMessage(from, held);
         });
       };
-  handlers.on_message[index(Channel::kOnce)] =
-      [this](const NodeId& from, std::string_view bytes) {
-        this->control.Spawn([this, from, held = std::string(bytes)] {
-          this->once.OnPeerMessage(from, held);
-        });
-      };
+  handlers.on_message[index(Channel::kOnce)] = [this](const NodeId& from,
+                                                      std::string_view bytes) {
+    this->control.Spawn([this, from, held = std::string(bytes)] {
+      this->once.OnPeerMessage(from, held);
+    });
+  };
   return handlers;
 }
 
@@ -274,10 +275,10 @@
   this->executor.OnPolicies(this->state->ranks);
   this->RebuildSnapshot();
   this->membership->SetInForce(this->state->release);
-  this->audit.Add(Part::kRelease,
-                  "release " + std::to_string(this->state->release.value) +
-                      " in force",
-                  "");
+  this->audit.Add(
+      Part::kRelease,
+      "release " + std::to_string(this->state->release.value) + " in force",
+      "");
   LOG_PART(Part::kAudit, info)
       << "Release " << this->state->release.value << " is in force.";
 }
