HTTP client, log client and the log stand-in with its faults

Cause: nodes and the operators' tool need the platform's log, and tests need its failures. Change: a fiber HTTP client that says whether a request may have arrived, LogPort over HTTP, and a stand-in that can be down, silent, slow, lose answers, expire records and cap appends. A handler of the HTTP server may now close a connection in place of answering.

--- /dev/null
+++ b/src/adapters/http_client.h
@@ -0,0 +1,80 @@
+// A small HTTP/1.1 client for fibers.
+//
+//   HttpClient client(loop, *ParseAddress("127.0.0.1:8080"));
+//   auto response = client.Send({.target = "/status"}, milliseconds(500));
+//   ...
+//   client.Close();  // Before the loop stops: ends requests in flight.
+//
+// A client talks to one address and keeps its connections for later requests.
+// It belongs to the thread of its loop; several fibers may send at once.
+
+#ifndef TANAGERLEDGE_SRC_ADAPTERS_HTTP_CLIENT_H_
+#define TANAGERLEDGE_SRC_ADAPTERS_HTTP_CLIENT_H_
+
+#include "src/adapters/fiber_io.h"
+#include "src/adapters/http_message.h"
+#include "src/adapters/net.h"
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "tanagerledge/types.h"
+
+namespace tanagerledge {
+
+struct HttpError {
+  // False is a proof: no byte of the request left this process.
+  bool may_have_arrived = false;
+  std::string text;
+};
+
+struct HttpClientOptions {
+  std::size_t max_body_bytes = 1024 * 1024;
+  std::size_t max_idle_connections = 4;
+};
+
+class HttpClient {
+ public:
+  HttpClient(IoLoop& loop,
+             boost::asio::ip::tcp::endpoint server,
+             HttpClientOptions options = {});
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+  ~HttpClient();
+
+  // Sends a request and waits for the whole response, at most `timeout` from
+  // connecting to the last byte. Never sends a request twice.
+  tl::expected<HttpResponse, HttpError> Send(const HttpRequest& request,
+                                             std::chrono::milliseconds timeout);
+
+  // Ends requests in flight; every later one fails as not sent.
+  void Close();
+
+ private:
+  struct Connection;
+  using ConnectionPtr = std::unique_ptr<Connection>;
+
+  // An idle connection that still stands, or a new one.
+  tl::expected<ConnectionPtr, HttpError> Take(Instant deadline);
+  tl::expected<ConnectionPtr, HttpError> Connect(Instant deadline);
+  tl::expected<HttpResponse, HttpError> Exchange(Connection& connection,
+                                                 const HttpRequest& request);
+
+  IoLoop& loop;
+  boost::asio::ip::tcp::endpoint server;
+  std::string host;
+  HttpClientOptions options;
+  std::vector<ConnectionPtr> idle;
+  std::set<Connection*> busy;
+  bool closed = false;
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_SRC_ADAPTERS_HTTP_CLIENT_H_
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -159,8 +159,12 @@
   const unsigned version = parser.get().version();
   const bool keep_alive = parser.get().keep_alive();
   const HttpRequest request = FromBeast(parser.release());
+  std::optional<HttpResponse> answer = this->handler(request);
+  if (!answer) {
+    return false;
+  }
   BeastResponse response =
-      ToBeast(this->handler(request), version, keep_alive && !this->draining);
+      ToBeast(std::move(*answer), version, keep_alive && !this->draining);
   connection.stream.expires_after(this->limits.read_timeout);
   const auto written = Await<std::size_t>([&](auto done) {
     http::async_write(connection.stream, response, std::move(done));
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace tanagerledge {
@@ -25,8 +26,10 @@
 
 class HttpServer {
  public:
-  // Answers one request; runs in the connection's fiber and may wait.
-  using Handler = std::function<HttpResponse(const HttpRequest&)>;
+  // Answers one request; runs in the connection's fiber and may wait. Nothing
+  // in place of an answer closes the connection.
+  using Handler =
+      std::function<std::optional<HttpResponse>(const HttpRequest&)>;
 
   HttpServer(IoLoop& loop, Handler handler, HttpLimits limits = {});
   ~HttpServer();
--- /dev/null
+++ b/tests/log/http_client_test.cc
@@ -0,0 +1,179 @@
+// The HTTP client: addresses, bounds, reuse of connections, what was sent.
+
+#include "src/adapters/http_client.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace tanagerledge {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST(ParseAddressTest, IpAndPort_AreRead) {
+  EXPECT_EQ(ParseAddress("127.0.0.1:80")->port(), 80);
+  EXPECT_TRUE(ParseAddress("[::1]:9000")->address().is_v6());
+}
+
+TEST(ParseAddressTest, AnythingElse_IsAFault) {
+  const std::vector<std::string> bad = {
+      "",    "127.0.0.1",     "localhost:80", "127.0.0.1:", "1.2.3.4:-1",
+      ":80", "1.2.3.4:65536", "1.2.3.4:8x",   "[]:80",      "1.2.3.4:80 "};
+  std::ranges::for_each(bad, [](const std::string& text) {
+    EXPECT_FALSE(ParseAddress(text).has_value()) << text;
+  });
+}
+
+// A server that answers each request on a connection with fixed bytes.
+const HttpRequest kGet;
+
+class HttpClientTest : public testing::Test {
+ protected:
+  HttpClientTest()
+      : acceptor(this->loop.context(),
+                 {boost::asio::ip::address_v4::loopback(), 0}) {}
+
+  // Serves `connections` one after another, with an answer for each request;
+  // closes a connection when its answers are used up.
+  void Serve(std::vector<std::vector<std::string>> connections) {
+    this->loop.Spawn([this, connections = std::move(connections)] {
+      for (const auto& answers : connections) {
+        tcp::socket socket(this->loop.context());
+        const auto error = AwaitError([&](auto handler) {
+          this->acceptor.async_accept(socket, std::move(handler));
+        });
+        if (error) {
+          return;
+        }
+        ++this->accepted;
+        this->AnswerAll(socket, answers);
+        socket.close();
+        ++this->ended;
+      }
+    });
+  }
+
+  void AnswerAll(tcp::socket& socket, const std::vector<std::string>& answers) {
+    boost::asio::streambuf buffer;
+    for (const std::string& answer : answers) {
+      const auto read = Await<std::size_t>([&](auto handler) {
+        boost::asio::async_read_until(socket, buffer, "\r\n\r\n",
+                                      std::move(handler));
+      });
+      if (!read) {
+        return;
+      }
+      buffer.consume(read.value);
+      Await<std::size_t>([&](auto handler) {
+        boost::asio::async_write(socket, boost::asio::buffer(answer),
+                                 std::move(handler));
+      });
+    }
+  }
+
+  // Runs `work` with a client in a fiber until it returns.
+  template <typename Work>
+  void WithClient(Work work, HttpClientOptions options = {}) {
+    this->loop.Spawn([&, work] {
+      HttpClient client(this->loop, this->acceptor.local_endpoint(), options);
+      work(client);
+      client.Close();
+      this->acceptor.close();
+      this->loop.Stop();
+    });
+    this->loop.Run();
+  }
+
+  IoLoop loop;
+  tcp::acceptor acceptor;
+  int accepted = 0;
+  int ended = 0;
+};
+
+const std::string kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+
+TEST_F(HttpClientTest, TwoRequests_ShareOneConnection) {
+  this->Serve({{kOk, kOk}});
+  this->WithClient([&](HttpClient& client) {
+    EXPECT_EQ(client.Send(kGet, seconds(5))->body, "hi");
+    EXPECT_EQ(client.Send(kGet, seconds(5))->body, "hi");
+  });
+  EXPECT_EQ(this->accepted, 1);
+}
+
+TEST_F(HttpClientTest, ConnectionClosedWhileIdle_IsReplacedAndNothingIsLost) {
+  this->Serve({{kOk}, {kOk}});
+  this->WithClient([&](HttpClient& client) {
+    EXPECT_TRUE(client.Send(kGet, seconds(5)).has_value());
+    while (this->ended == 0) {
+      boost::this_fiber::yield();
+    }
+    EXPECT_TRUE(client.Send(kGet, seconds(5)).has_value());
+  });
+  EXPECT_EQ(this->accepted, 2);
+}
+
+TEST_F(HttpClientTest, ServerThatNeverAnswers_EndsAtTheTimeoutAsMaybeArrived) {
+  this->Serve({{"", ""}});
+  this->WithClient([&](HttpClient& client) {
+    const auto response = client.Send(kGet, milliseconds(20));
+    ASSERT_FALSE(response.has_value());
+    EXPECT_TRUE(response.error().may_have_arrived);
+  });
+}
+
+TEST_F(HttpClientTest, RefusedConnection_IsProvedNotSent) {
+  this->WithClient([&](HttpClient& client) {
+    this->acceptor.close();
+    const auto response = client.Send(kGet, seconds(5));
+    ASSERT_FALSE(response.has_value());
+    EXPECT_FALSE(response.error().may_have_arrived);
+  });
+}
+
+TEST_F(HttpClientTest, BodyOverTheLimit_IsAnError) {
+  this->Serve({{"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"}});
+  this->WithClient(
+      [&](HttpClient& client) {
+        EXPECT_FALSE(client.Send(kGet, seconds(5)).has_value());
+      },
+      {.max_body_bytes = 10});
+}
+
+TEST_F(HttpClientTest, AnswerThatIsNotHttp_IsAnError) {
+  this->Serve({{"\x01\x02 nonsense\r\n\r\n"}});
+  this->WithClient([&](HttpClient& client) {
+    EXPECT_FALSE(client.Send(kGet, seconds(5)).has_value());
+  });
+}
+
+TEST_F(HttpClientTest, Headers_AreFoundInAnyCase) {
+  this->Serve({{"HTTP/1.1 200 OK\r\nlog-end: 7\r\nContent-Length: 0\r\n\r\n"}});
+  this->WithClient([&](HttpClient& client) {
+    const auto response = client.Send(kGet, seconds(5));
+    ASSERT_TRUE(response.has_value());
+    EXPECT_EQ(response->Header("Log-End"), "7");
+    EXPECT_EQ(response->Header("Absent"), "");
+  });
+}
+
+TEST_F(HttpClientTest, Close_EndsARequestInFlight) {
+  this->Serve({{"", ""}});
+  this->WithClient([&](HttpClient& client) {
+    this->loop.Post([&] { client.Close(); });
+    EXPECT_FALSE(client.Send(kGet, seconds(60)).has_value());
+  });
+}
+
+}  // namespace
+}  // namespace tanagerledge
--- /dev/null
+++ b/tests/log/log_store_test.cc
@@ -0,0 +1,210 @@
+// The log client against the log stand-in: each fault as a node meets it.
+
+#include "fakes/log_store.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/fiber/fiber.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "src/adapters/fiber_sync.h"
+#include "src/adapters/log_client.h"
+
+namespace tanagerledge {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto kTimeout = seconds(5);
+
+class LogStoreTest : public testing::Test {
+ protected:
+  LogStoreTest() : store(this->loop) {
+    const auto port = this->store.Listen(0);
+    EXPECT_TRUE(port.has_value());
+    const tcp::endpoint address(boost::asio::ip::address_v4::loopback(), *port);
+    this->client.emplace(this->loop, address);
+    this->http.emplace(this->loop, address);
+    this->loop.Start();
+  }
+
+  ~LogStoreTest() override {
+    this->OnLoop([this]() -> int {
+      this->client->Close();
+      this->http->Close();
+      this->store.Close();
+      return 0;
+    });
+    this->loop.Stop();
+    this->loop.Join();
+  }
+
+  // Runs a function in a fiber of the loop and waits for its result.
+  template <typename Work>
+  auto OnLoop(Work work) -> decltype(work()) {
+    return *RunOn(this->loop, Instant::max(), std::move(work));
+  }
+
+  auto Append(const std::string& record, milliseconds timeout = kTimeout) {
+    return this->OnLoop(
+        [&] { return this->client->Append("releases", record, timeout); });
+  }
+
+  auto Read(std::uint64_t from, milliseconds wait = milliseconds(0)) {
+    return this->OnLoop([&] {
+      return this->client->Read("releases", {from}, 100, wait, kTimeout);
+    });
+  }
+
+  int SetFaultsOverHttp(const std::string& json) {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/faults";
+    request.body = json;
+    const auto response =
+        this->OnLoop([&] { return this->http->Send(request, kTimeout); });
+    return response ? response->status : 0;
+  }
+
+  IoLoop loop;
+  LogStore store;
+  std::optional<LogClient> client;
+  std::optional<HttpClient> http;
+};
+
+TEST_F(LogStoreTest, AppendedRecords_AreReadBackInOrderWithTheirOffsets) {
+  EXPECT_EQ(this->Append("first")->value, 0u);
+  EXPECT_EQ(this->Append(std::string("\0\xff", 2))->value, 1u);
+  const auto page = this->Read(0);
+  ASSERT_TRUE(page.has_value());
+  ASSERT_EQ(page->records.size(), 2u);
+  EXPECT_EQ(page->records[0].bytes, "first");
+  EXPECT_EQ(page->records[1].bytes, std::string("\0\xff", 2));
+  EXPECT_EQ(page->records[1].offset.value, 1u);
+  EXPECT_EQ(page->end.value, 2u);
+}
+
+TEST_F(LogStoreTest, TwoStreams_CountTheirOffsetsApart) {
+  this->Append("one");
+  const auto other = this->OnLoop(
+      [&] { return this->client->Append("intents", "two", kTimeout); });
+  EXPECT_EQ(other->value, 0u);
+  EXPECT_EQ(this->Read(0)->records.size(), 1u);
+}
+
+TEST_F(LogStoreTest, ReadAtTheEnd_IsHeldUntilARecordComes) {
+  const auto page = this->OnLoop([&] {
+    boost::fibers::fiber writer([&] {
+      EXPECT_TRUE(this->client->Append("releases", "late", kTimeout));
+    });
+    auto read =
+        this->client->Read("releases", {0}, 100, seconds(30), seconds(60));
+    writer.join();
+    return read;
+  });
+  ASSERT_TRUE(page.has_value());
+  ASSERT_EQ(page->records.size(), 1u);
+  EXPECT_EQ(page->records[0].bytes, "late");
+}
+
+TEST_F(LogStoreTest, ReadAtTheEnd_IsAnsweredEmptyAfterTheWait) {
+  const auto page = this->Read(0, milliseconds(5));
+  ASSERT_TRUE(page.has_value());
+  EXPECT_TRUE(page->records.empty());
+}
+
+TEST_F(LogStoreTest, LostAnswer_IsAmbiguousAndTheWriteStands) {
+  ASSERT_EQ(this->SetFaultsOverHttp(R"({"lose_answers": 1})"), 200);
+  const auto lost = this->Append("written");
+  ASSERT_FALSE(lost.has_value());
+  EXPECT_EQ(lost.error().kind, LogErrorKind::kAmbiguous);
+  EXPECT_EQ(this->Read(0)->records.size(), 1u);
+  EXPECT_EQ(this->Append("next")->value, 1u);
+}
+
+TEST_F(LogStoreTest, Down_IsUnavailableAndNothingIsWritten) {
+  ASSERT_EQ(this->SetFaultsOverHttp(R"({"down": true})"), 200);
+  EXPECT_EQ(this->Append("x").error().kind, LogErrorKind::kUnavailable);
+  EXPECT_EQ(this->Read(0).error().kind, LogErrorKind::kUnavailable);
+  ASSERT_EQ(this->SetFaultsOverHttp(R"({"down": false})"), 200);
+  EXPECT_EQ(this->Append("y")->value, 0u);
+}
+
+TEST_F(LogStoreTest, Silent_MakesAnAppendAmbiguousAtItsTimeout) {
+  this->store.SetFaults({.silent = true});
+  const auto append = this->Append("x", milliseconds(20));
+  EXPECT_EQ(append.error().kind, LogErrorKind::kAmbiguous);
+  this->store.SetFaults({});
+  EXPECT_EQ(this->Read(0)->end.value, 0u);
+}
+
+TEST_F(LogStoreTest, Slow_AppendThatTimedOutTakesEffectLater) {
+  this->store.SetFaults({.slow = milliseconds(60)});
+  const auto append = this->Append("late", milliseconds(10));
+  EXPECT_EQ(append.error().kind, LogErrorKind::kAmbiguous);
+  const auto page = this->Read(0, seconds(2));
+  ASSERT_TRUE(page.has_value());
+  EXPECT_EQ(page->end.value, 1u);
+}
+
+TEST_F(LogStoreTest, ExpiredRecords_AreReportedWithTheFirstKept) {
+  this->Append("a");
+  this->Append("b");
+  this->Append("c");
+  ASSERT_EQ(this->SetFaultsOverHttp(
+                R"({"expire": {"stream": "releases", "before": 2}})"),
+            200);
+  const auto page = this->Read(0);
+  ASSERT_FALSE(page.has_value());
+  EXPECT_EQ(page.error().kind, LogErrorKind::kExpired);
+  EXPECT_EQ(page.error().first_kept.value, 2u);
+  EXPECT_EQ(this->Read(2)->records[0].bytes, "c");
+}
+
+TEST_F(LogStoreTest, RecordsOlderThanTheAge_Expire) {
+  this->Append("old");
+  this->OnLoop([&] { return this->loop.SleepFor(milliseconds(5)); });
+  this->store.SetFaults({.max_age = milliseconds(1)});
+  EXPECT_EQ(this->Read(0).error().kind, LogErrorKind::kExpired);
+  EXPECT_EQ(this->Read(1)->end.value, 1u);
+}
+
+TEST_F(LogStoreTest, AppendsOverTheCap_AreRefusedAsNotWritten) {
+  this->store.SetFaults({.max_appends_per_second = 1});
+  const auto first = this->Append("a");
+  const auto second = this->Append("b");
+  EXPECT_TRUE(first.has_value());
+  ASSERT_FALSE(second.has_value());
+  EXPECT_EQ(second.error().kind, LogErrorKind::kUnavailable);
+  EXPECT_EQ(this->Read(0)->end.value, 1u);
+}
+
+TEST_F(LogStoreTest, ClosedStore_IsUnavailableOnConnecting) {
+  this->OnLoop([&] {
+    this->store.Close();
+    return 0;
+  });
+  EXPECT_EQ(this->Append("x").error().kind, LogErrorKind::kUnavailable);
+}
+
+TEST_F(LogStoreTest, OversizeRecordOrBadStreamName_IsRefusedUnsent) {
+  const auto oversize = this->Append(std::string(2 * 1024 * 1024, 'x'));
+  EXPECT_EQ(oversize.error().kind, LogErrorKind::kRefused);
+  const auto bad_name = this->OnLoop(
+      [&] { return this->client->Append("a/../b", "x", kTimeout); });
+  EXPECT_EQ(bad_name.error().kind, LogErrorKind::kRefused);
+  EXPECT_EQ(this->store.counts().appends, 0u);
+}
+
+TEST_F(LogStoreTest, FaultsThatCannotBeRead_ChangeNothing) {
+  EXPECT_EQ(this->SetFaultsOverHttp(R"({"down": "perhaps"})"), 400);
+  EXPECT_EQ(this->SetFaultsOverHttp("{"), 400);
+  EXPECT_FALSE(this->store.faults().down);
+}
+
+}  // namespace
+}  // namespace tanagerledge
