Admission: floors, fair customers, short queues; choice by own evidence

Cause: the first version ran strictly by worth with all announced slots, and chose by own calls in flight alone: no floors, no fairness, no early refusal. Choose and OnReply now take the customer.

--- /dev/null
+++ b/benchmarks/admission_benchmark.cc
@@ -0,0 +1,278 @@
+// Service by rank in floods and with odd back ends, in virtual time.
+//
+// Bounds, from issue 5:
+//   least urgent floods at 10x: the urgent rank's in-deadline share is at least
+//     99% of its level without the flood; useful work at least 95% of capacity;
+//   most urgent floods at 10x: each other rank keeps its floor in slot time, or
+//     all it asks for; useful work at least 95% of capacity;
+//   one customer floods inside a rank: the others keep 90% of a fair share;
+//   odd back ends: urgent goodput not below either baseline.
+// The two deployments differ only in their policies.
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "benchmarks/call_model.h"
+
+namespace tanagerledge::model {
+namespace {
+
+const RankName kUrgent{"urgent"};
+const RankName kNormal{"normal"};
+const RankName kBulk{"bulk"};
+
+constexpr double kFloodFactor = 10;
+
+// Two runs count as equal when they differ by less than a call in a thousand.
+constexpr double kNoise = 0.999;
+
+const Treatment kOurs{"tanagerledge", Choice::kTanagerledge, true};
+const Treatment kRoundRobin{"round robin", Choice::kRoundRobin, false};
+const Treatment kLeastLoad{"least load", Choice::kLeastReported, false};
+
+struct Deployment {
+  std::string name;
+  int slots = 0;
+  milliseconds zone_distance{0};
+  std::map<RankName, RankPolicy> policies;
+  std::vector<std::pair<std::string, int>> services;  // And their endpoints.
+};
+
+std::map<RankName, RankPolicy> Policies(int urgent, int normal, int bulk) {
+  return {{kUrgent, {kUrgent, milliseconds(100), 100, urgent}},
+          {kNormal, {kNormal, milliseconds(200), 50, normal}},
+          {kBulk, {kBulk, milliseconds(400), 10, bulk}}};
+}
+
+std::vector<Deployment> Deployments() {
+  return {{"Beryn",
+           13,
+           milliseconds(1),
+           Policies(20, 5, 5),
+           {{"catalogue", 5}, {"certifier", 4}, {"claims", 3}}},
+          {"Sprinklo",
+           20,
+           milliseconds(2),
+           Policies(20, 30, 25),
+           {{"archiv", 5}, {"osvedceni", 3}, {"fakturace", 3}}}};
+}
+
+struct RankWork {
+  RankName rank;
+  Seconds work;
+  milliseconds deadline;
+  double usual_share;  // Of capacity, on an ordinary day.
+};
+
+const std::vector<RankWork>& Works() {
+  static const std::vector<RankWork> kWorks = {
+      {kUrgent, milliseconds(12), milliseconds(250), 0.35},
+      {kNormal, milliseconds(10), milliseconds(400), 0.25},
+      {kBulk, milliseconds(8), milliseconds(800), 0.15}};
+  return kWorks;
+}
+
+std::vector<BackEndTraits> BackEnds(int count, int slots) {
+  std::vector<BackEndTraits> back_ends;
+  for (int index = 0; index < count; ++index) {
+    BackEndTraits traits;
+    traits.zone = {"z" + std::to_string(index % 3 + 1)};
+    traits.slots = slots;
+    back_ends.push_back(traits);
+  }
+  return back_ends;
+}
+
+// Calls of one rank that ask for `share` of the capacity, by three customers.
+void AddRank(Scenario& scenario,
+             const RankWork& work,
+             double share,
+             Seconds from) {
+  double slots = 0;
+  for (const BackEndTraits& traits : scenario.back_ends) {
+    slots += traits.slots;
+  }
+  constexpr int kCustomers = 3;
+  for (int index = 0; index < kCustomers; ++index) {
+    scenario.streams.push_back({work.rank,
+                                {"firm" + std::to_string(index)},
+                                share * slots / work.work.count() / kCustomers,
+                                work.work,
+                                work.deadline,
+                                from});
+  }
+}
+
+Scenario Ordinary(const Deployment& deployment,
+                  const std::string& service,
+                  int endpoints) {
+  Scenario scenario;
+  scenario.back_ends = BackEnds(endpoints, deployment.slots);
+  scenario.policies = deployment.policies;
+  scenario.zone_distance = deployment.zone_distance;
+  scenario.measure_until = Seconds(2.5);
+  scenario.seed = std::hash<std::string>()(deployment.name + service);
+  for (const RankWork& work : Works()) {
+    AddRank(scenario, work, work.usual_share, Seconds(0));
+  }
+  return scenario;
+}
+
+// Floods --------------------------------------------------------------------
+
+void LeastUrgentFloods(const Deployment& deployment,
+                       const std::string& service,
+                       int endpoints,
+                       Bounds& bounds) {
+  Scenario scenario = Ordinary(deployment, service, endpoints);
+  const Figures calm = Run(scenario, kOurs);
+  AddRank(scenario, Works()[2], kFloodFactor, Seconds(1));
+  const Figures flood = Run(scenario, kOurs);
+  const std::string title = deployment.name + " " + service;
+  Print(title + ", calm", calm);
+  Print(title + ", bulk floods", flood);
+  bounds.AtLeast(
+      title + ": urgent in deadline against calm",
+      flood.ranks.at(kUrgent).ok_share() / calm.ranks.at(kUrgent).ok_share(),
+      0.99);
+  bounds.AtLeast(title + ": useful work", flood.utility(), 0.95);
+}
+
+void MostUrgentFloods(const Deployment& deployment,
+                      const std::string& service,
+                      int endpoints,
+                      Bounds& bounds) {
+  Scenario scenario = Ordinary(deployment, service, endpoints);
+  scenario.streams.clear();
+  AddRank(scenario, Works()[0], kFloodFactor, Seconds(1));
+  AddRank(scenario, Works()[1], 0.5, Seconds(0));
+  AddRank(scenario, Works()[2], 0.5, Seconds(0));
+  const Figures flood = Run(scenario, kOurs);
+  const std::string title = deployment.name + " " + service;
+  Print(title + ", urgent floods", flood);
+  for (const RankName& rank : {kNormal, kBulk}) {
+    bounds.AtLeast(title + ": " + rank.value + " kept, against its floor",
+                   flood.ranks.at(rank).useful / flood.capacity,
+                   deployment.policies.at(rank).floor_percent / 100.0);
+  }
+  bounds.AtLeast(title + ": useful work", flood.utility(), 0.95);
+}
+
+// One firm asks for ten times the capacity, two others for a third and a
+// quarter each: below their fair third, so that they should keep it all.
+void OneCustomerFloods(const Deployment& deployment, Bounds& bounds) {
+  Scenario scenario = Ordinary(deployment, "customers", 4);
+  scenario.streams.clear();
+  const RankWork& work = Works()[1];
+  const double slots = 4.0 * deployment.slots;
+  const auto add = [&](const char* name, double share) {
+    scenario.streams.push_back({work.rank,
+                                {name},
+                                share * slots / work.work.count(),
+                                work.work,
+                                work.deadline,
+                                Seconds(0)});
+  };
+  add("flooder", kFloodFactor);
+  add("rival", 1.0 / 3);
+  add("small", 0.25);
+  const Figures figures = Run(scenario, kOurs);
+  const std::string title = deployment.name + " one customer floods";
+  Print(title, figures);
+  const std::vector<std::pair<std::string, double>> fair = {{"rival", 1.0 / 3},
+                                                            {"small", 0.25}};
+  for (const auto& [name, share] : fair) {
+    bounds.AtLeast(
+        title + ": " + name + " of its fair share",
+        figures.customers.at({name}).useful / figures.capacity / share, 0.9);
+    std::printf("  %s: offered %d, ok %.2f%%\n", name.c_str(),
+                figures.customers.at({name}).offered,
+                100 * figures.customers.at({name}).ok_share());
+  }
+}
+
+// Odd back ends -------------------------------------------------------------
+
+struct Oddity {
+  std::string name;
+  void (*change)(std::vector<BackEndTraits>& back_ends);
+};
+
+const std::vector<Oddity>& Oddities() {
+  static const std::vector<Oddity> kOddities = {
+      {"all well", [](std::vector<BackEndTraits>&) {}},
+      {"one slow by 10",
+       [](std::vector<BackEndTraits>& all) { all[0].slowness = 10; }},
+      {"one fails fast",
+       [](std::vector<BackEndTraits>& all) { all[0].fails_fast = true; }},
+      {"one slow, reports no load",
+       [](std::vector<BackEndTraits>& all) {
+         all[0].slowness = 5;
+         all[0].reports_no_load = true;
+       }},
+      {"one cold",
+       [](std::vector<BackEndTraits>& all) { all[0].cold_for = Seconds(3); }},
+      {"one drains",
+       [](std::vector<BackEndTraits>& all) {
+         all[0].drains_at = Seconds(1.5);
+       }},
+      {"one sheds above half",
+       [](std::vector<BackEndTraits>& all) {
+         all[0].sheds_above = all[0].slots / 2;
+       }},
+      {"one slows above half",
+       [](std::vector<BackEndTraits>& all) {
+         all[0].slows_above = all[0].slots / 2;
+       }},
+      {"a zone is lost", [](std::vector<BackEndTraits>& all) {
+         for (BackEndTraits& traits : all) {
+           traits.lost_at =
+               traits.zone == Zone{"z1"} ? Seconds(1.5) : Seconds(1e9);
+         }
+       }}};
+  return kOddities;
+}
+
+// Urgent goodput, with bulk asking for more than there is.
+void OddBackEnds(const Deployment& deployment, Bounds& bounds) {
+  for (const Oddity& oddity : Oddities()) {
+    Scenario scenario = Ordinary(deployment, oddity.name, 5);
+    scenario.measure_until = Seconds(3.5);
+    oddity.change(scenario.back_ends);
+    const std::string title = deployment.name + " " + oddity.name;
+    const Figures ours = Run(scenario, kOurs);
+    Print(title + ", tanagerledge", ours);
+    for (const Treatment& baseline : {kRoundRobin, kLeastLoad}) {
+      const Figures other = Run(scenario, baseline);
+      Print(title + ", " + baseline.name, other);
+      bounds.AtLeast(title + ": urgent goodput against " + baseline.name,
+                     static_cast<double>(ours.ranks.at(kUrgent).ok) /
+                         ours.ranks.at(kUrgent).offered /
+                         other.ranks.at(kUrgent).ok_share(),
+                     kNoise);
+    }
+  }
+}
+
+int Main() {
+  Bounds bounds;
+  for (const Deployment& deployment : Deployments()) {
+    for (const auto& [service, endpoints] : deployment.services) {
+      LeastUrgentFloods(deployment, service, endpoints, bounds);
+      MostUrgentFloods(deployment, service, endpoints, bounds);
+    }
+    OneCustomerFloods(deployment, bounds);
+    OddBackEnds(deployment, bounds);
+  }
+  return bounds.exit_code();
+}
+
+}  // namespace
+}  // namespace tanagerledge::model
+
+int main() {
+  return tanagerledge::model::Main();
+}
--- a/include/tanagerledge/admission.h
+++ b/include/tanagerledge/admission.h
@@ -30,7 +30,7 @@
 // Events and actions --------------------------------------------------------
 
 struct AdmissionRequest {
-  std::uint64_t id = 0;  // Unique among the calls that wait or run.
+  std::uint64_t id = 0;  // Unique: one that waits or runs is not taken again.
   RankName rank;
   Customer customer;
   Instant arrived{};
--- a/include/tanagerledge/endpoint_chooser.h
+++ b/include/tanagerledge/endpoint_chooser.h
@@ -3,12 +3,12 @@
 // One chooser serves all worker threads of a node. It learns from the calls of
 // this node: what came back, how fast, and the load that replies report.
 //
-//   const auto node = chooser.Choose(snapshot, service, rank, zone, {}, now,
-//                                    rng);
+//   const auto node = chooser.Choose(snapshot, service, rank, customer, zone,
+//                                    {}, now, rng);
 //   if (!node) { /* refuse the call here: not run */ }
 //   chooser.OnStart(*node);
 //   ... exactly one of ...
-//   chooser.OnReply(*node, rank, kind, load, latency, now);
+//   chooser.OnReply(*node, rank, customer, kind, load, latency, now);
 //   chooser.OnUnreachable(*node, now);
 
 #ifndef TANAGERLEDGE_ENDPOINT_CHOOSER_H_
@@ -37,11 +37,12 @@
   EndpointChooser& operator=(const EndpointChooser&) = delete;
 
   // An endpoint of `service` that is neither draining, gone nor `excluded`, or
-  // nothing: there is none, or each would refuse this rank now. `rng` belongs
-  // to the calling thread.
+  // nothing: there is none, or calls of this rank and customer are mostly
+  // refused now. `rng` belongs to the calling thread.
   std::optional<NodeId> Choose(const Snapshot& snapshot,
                                const ServiceName& service,
                                const RankName& rank,
+                               const Customer& customer,
                                const Zone& own_zone,
                                std::span<const NodeId> excluded,
                                Instant now,
@@ -54,6 +55,7 @@
   // means that the node or its back end refused the call as not run.
   void OnReply(const NodeId& node,
                const RankName& rank,
+               const Customer& customer,
                FinishKind kind,
                const LoadReport& load,
                std::chrono::microseconds latency,
--- a/tests/routing/endpoint_chooser_test.cc
+++ b/tests/routing/endpoint_chooser_test.cc
@@ -30,8 +30,8 @@
 
   std::optional<NodeId> Choose(const Snapshot& snapshot,
                                std::span<const NodeId> excluded = {}) {
-    return this->chooser.Choose(snapshot, {"claims"}, {"urgent"}, {"z1"},
-                                excluded, this->now, this->rng);
+    return this->chooser.Choose(snapshot, {"claims"}, {"urgent"}, {"skf"},
+                                {"z1"}, excluded, this->now, this->rng);
   }
 
   std::shared_ptr<FleetState> fleet = std::make_shared<FleetState>();
