--- a/src/adapters/fiber_io.h
+++ b/src/adapters/fiber_io.h
@@ -1,9 +1,10 @@
 // Fibers on Asio: one io_context and one fiber scheduler for each thread.
 //
 //   IoLoop loop;
-//   std::thread thread([&] { loop.Run(); });
+//   loop.Start();
 //   loop.Spawn([&] { /* a fiber: may call Await, SleepFor, ... */ });
 //   loop.Stop();
+//   loop.Join();
 //
 // Inside a fiber, an asynchronous call is awaited without blocking the thread:
 //
@@ -22,9 +23,11 @@
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/context.hpp>
 #include <boost/fiber/mutex.hpp>
+#include <boost/fiber/pooled_fixedsize_stack.hpp>
 #include <boost/system/error_code.hpp>
 #include <chrono>
 #include <functional>
+#include <thread>
 
 namespace tanagerledge {
 
@@ -38,13 +41,23 @@
 
   boost::asio::io_context& context() { return this->io; }
 
-  // Runs fibers on the calling thread until Stop, then until every spawned
-  // fiber has ended: whoever holds sockets closes them on stopping.
+  // Starts the loop's own thread. It must be a thread that ends before the
+  // loop does: a thread keeps its fiber scheduler until it ends.
+  void Start();
+
+  // Waits for Stop, and then until every spawned fiber has ended: whoever holds
+  // sockets closes them on stopping.
+  void Join();
+
+  // Start, then Join.
   void Run();
 
   // Starts a fiber on the loop's thread. From any thread.
   void Spawn(std::function<void()> work);
 
+  // The same from the loop's own thread, without the detour by a queue.
+  void SpawnHere(std::function<void()> work);
+
   // Runs a short function on the loop's thread, outside any fiber: it must not
   // wait. From any thread.
   void Post(std::function<void()> work);
@@ -57,14 +70,18 @@
   bool SleepFor(std::chrono::nanoseconds time);
 
  private:
+  void RunThread();
   void FiberEnded();
 
   boost::asio::io_context io;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+  // Stacks are reused: a fiber per call must not map memory per call.
+  boost::fibers::pooled_fixedsize_stack stacks;
   std::atomic<bool> stopped{false};
   int live_fibers = 0;  // Only touched on the loop's thread.
   boost::fibers::mutex mutex;
   boost::fibers::condition_variable stop_signal;
+  std::thread thread;
 };
 
 // Await ---------------------------------------------------------------------
