Distribution: readers, tree, repair, state transfer, restart floor, checkpoints

Cause: every node polled the log; a restarted node had no floor, and nothing survived records that expire. Change: a pure machine (src/distribution) with two readers per zone on a long poll, push down a zone's tree and round a ring of zones, summaries and pulls for repair, whole state in bounded slots, checkpoints by rank delay, a bridge over records that nobody kept; ReleaseHost wires it. Restart floor: a read of the log's end begun after the start, one read for many joiners. A first run with half of all messages lost did not converge in 18 s of virtual time: a node now keeps asking while it knows that it is behind.

--- /dev/null
+++ b/src/distribution/state_codec.h
@@ -0,0 +1,33 @@
+// A whole state for a newcomer: a checkpoint, compressed and hashed.
+
+#ifndef TANAGERLEDGE_SRC_DISTRIBUTION_STATE_CODEC_H_
+#define TANAGERLEDGE_SRC_DISTRIBUTION_STATE_CODEC_H_
+
+#include <release_types.h>
+
+#include <cstddef>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace tanagerledge {
+
+inline constexpr std::size_t kMaxStateBytes = 16 * 1024 * 1024;
+
+struct PackedState {
+  std::string packed;  // zstd.
+  std::string hash;    // XXH3 128 of the checkpoint's bytes.
+};
+
+struct UnpackError {
+  std::string text;
+};
+
+PackedState PackState(const wire::Checkpoint& checkpoint);
+
+tl::expected<wire::Checkpoint, UnpackError> UnpackState(
+    const std::string& packed,
+    const std::string& hash);
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_SRC_DISTRIBUTION_STATE_CODEC_H_
--- a/src/node/release_host.h
+++ b/src/node/release_host.h
@@ -1,6 +1,8 @@
 // Releases on one node: reads them, puts them in force in order, and passes
 // them on to other nodes.
 //
+// Wires the machine of src/distribution to the ports.
+//
 //   ReleaseHost host(loop, peers, log, config, [](auto state) { ... });
 //   host.Start();
 //   host.SetMembers(members);   // Whenever membership changes.
@@ -10,6 +12,7 @@
 #ifndef TANAGERLEDGE_SRC_NODE_RELEASE_HOST_H_
 #define TANAGERLEDGE_SRC_NODE_RELEASE_HOST_H_
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
@@ -21,6 +24,7 @@
 #include <vector>
 
 #include "src/adapters/fiber_io.h"
+#include "src/distribution/distribution.h"
 #include "tanagerledge/fold.h"
 #include "tanagerledge/member.h"
 #include "tanagerledge/ports.h"
@@ -28,11 +32,10 @@
 namespace tanagerledge {
 
 struct ReleaseHostConfig {
-  NodeId node;
-  Zone zone;
+  DistributionConfig distribution;  // Own node, zone, seed, intervals.
   std::string stream{kReleaseStream};
-  std::uint64_t seed = 1;  // Of this node's random choices.
   std::chrono::milliseconds tick{50};
+  std::chrono::milliseconds members_pause{200};  // Between two views of them.
 };
 
 // What the host did, counted since its start.
@@ -40,21 +43,20 @@
   std::uint64_t log_reads = 0;
   std::uint64_t log_read_failures = 0;
   std::uint64_t log_appends = 0;
-  std::uint64_t full_transfers_sent = 0;
-  std::uint64_t full_transfers_taken = 0;
-  std::uint64_t push_bytes = 0;
-  std::uint64_t repair_bytes = 0;
-  std::uint64_t summary_bytes = 0;
-  std::uint64_t full_state_bytes = 0;
+  std::uint64_t undecodable_messages = 0;
+  // By SendPurpose.
+  std::array<std::uint64_t, kSendPurposeCount> messages_sent{};
+  std::array<std::uint64_t, kSendPurposeCount> bytes_sent{};
 };
 
 // For the admin page.
 struct ReleaseStatus {
-  bool ready = false;
-  std::string not_ready_reason;  // Empty when ready.
+  NotReady readiness = NotReady::kNoLogEnd;
   ReleaseNumber release;
   Digest digest{};
   LogOffset next_offset;
+  bool reads_log = false;
+  DistributionAlarms alarms;
   ReleaseCounters counters;
 };
 
@@ -86,20 +88,30 @@
   ReleaseStatus Status() const;
 
  private:
-  void ReadForEver();
-  void TakePage(const LogPage& page);
-  void TakeRecord(const LogRecord& record);
+  void TickForEver();
+  void ShowMembers();
+  void Feed(DistributionEvent event);
+  void FeedOne(const DistributionEvent& event);
+
+  void Do(const SendRelease& action);
+  void Do(const ReadLog& action);
+  void Do(const AppendLog& action);
+  void Do(const PutInForce& action);
+  void Do(const ReportVerdict& action);
 
   IoLoop& loop;
-  [[maybe_unused]] PeerPort& peers;
+  PeerPort& peers;
   LogPort& log;
   ReleaseHostConfig config;
   Sink sink;
-  Fold fold;
+  Distribution machine;
   std::vector<Member> members;
+  bool members_changed = false;
+  Instant members_shown{};
+  std::deque<DistributionEvent> events;
+  bool feeding = false;
   std::deque<Verdict> history;
   ReleaseCounters counters;
-  std::string reason = "the log has not answered since this node's start";
   std::atomic<bool> ready{false};
 };
 
--- /dev/null
+++ b/tests/distribution/distribution_test.cc
@@ -0,0 +1,198 @@
+// The spreading machine: convergence, restart, outage and expiry.
+
+#include "src/distribution/distribution.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "tests/distribution/fleet_driver.h"
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+using testing_fleet::FleetDriver;
+using testing_fleet::FleetNode;
+using testing_fleet::FleetOptions;
+using testing_fleet::ServiceRecord;
+
+constexpr seconds kInForceBound{18};
+
+class DistributionTest : public testing::Test {
+ protected:
+  static FleetOptions Options() { return {}; }
+
+  static bool Converges(FleetDriver& fleet, std::uint64_t release) {
+    return fleet.RunUntil([&] { return fleet.AllServe({release}); },
+                          kInForceBound);
+  }
+
+  static void ExpectWhole(const FleetDriver& fleet) {
+    EXPECT_TRUE(fleet.broken.empty()) << fleet.broken.front();
+  }
+};
+
+TEST_F(DistributionTest, PublishedRecord_IsInForceOnEveryNode) {
+  FleetDriver fleet(Options());
+  ASSERT_TRUE(Converges(fleet, 0));
+  fleet.Append(ServiceRecord(1));
+  EXPECT_TRUE(Converges(fleet, 1));
+  ExpectWhole(fleet);
+}
+
+TEST_F(DistributionTest, OneNodeAlone_BecomesReadyAndFollowsTheLog) {
+  FleetOptions options = Options();
+  options.zones = 1;
+  options.nodes_per_zone = 1;
+  FleetDriver fleet(options);
+  ASSERT_TRUE(Converges(fleet, 0));
+  fleet.Append(ServiceRecord(1));
+  EXPECT_TRUE(Converges(fleet, 1));
+}
+
+TEST_F(DistributionTest, QuietNetwork_PushCrossesEachZoneBorderOnce) {
+  FleetOptions options = Options();
+  options.nodes_per_zone = 30;
+  FleetDriver fleet(options);
+  ASSERT_TRUE(Converges(fleet, 0));
+  const auto pushes = static_cast<std::size_t>(SendPurpose::kPush);
+  const std::size_t before = fleet.messages[pushes];
+  fleet.Append(ServiceRecord(1));
+  ASSERT_TRUE(Converges(fleet, 1));
+  EXPECT_EQ(fleet.zone_crossings, 3u);
+  EXPECT_LE(fleet.messages[pushes] - before, 90u + 3u);
+}
+
+TEST_F(DistributionTest, HalfOfAllMessagesLost_StillConverges) {
+  FleetOptions options = Options();
+  options.loss = 0.5;
+  options.duplication = 0.2;
+  FleetDriver fleet(options);
+  ASSERT_TRUE(Converges(fleet, 0));
+  for (std::size_t i = 1; i <= 10; ++i) {
+    fleet.Append(ServiceRecord(i));
+  }
+  EXPECT_TRUE(Converges(fleet, 10));
+  ExpectWhole(fleet);
+}
+
+TEST_F(DistributionTest, RestartWhileTheLogIsDown_IsNotReadyAndSaysWhy) {
+  FleetDriver fleet(Options());
+  ASSERT_TRUE(Converges(fleet, 0));
+  fleet.log.down = true;
+  fleet.Kill(0);
+  fleet.Start(0);
+  fleet.RunFor(seconds(20));
+  EXPECT_EQ(fleet.nodes[0].machine->readiness(), NotReady::kLogUnavailable);
+  fleet.log.down = false;
+  EXPECT_TRUE(Converges(fleet, 0));
+}
+
+TEST_F(DistributionTest, ReaderDiesAfterServingAlone_NeverGoesBack) {
+  FleetDriver fleet(Options());
+  ASSERT_TRUE(Converges(fleet, 0));
+  fleet.Append(ServiceRecord(1));
+  fleet.RunUntil(
+      [&] {
+        return std::ranges::any_of(fleet.nodes, [](const FleetNode& node) {
+          return node.served.value == 1;
+        });
+      },
+      seconds(1));
+  fleet.log.down = true;
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    fleet.Kill(i);
+    fleet.Start(i);
+  }
+  fleet.RunFor(seconds(30));
+  EXPECT_EQ(fleet.ReadyCount(), 0u);
+  fleet.log.down = false;
+  EXPECT_TRUE(Converges(fleet, 1));
+  ExpectWhole(fleet);
+}
+
+TEST_F(DistributionTest, OutageLongerThanRetention_FleetGoesOnAndOthersJoin) {
+  FleetDriver fleet(Options());
+  for (std::size_t i = 1; i <= 3; ++i) {
+    fleet.Append(ServiceRecord(i));
+  }
+  ASSERT_TRUE(Converges(fleet, 3));
+  fleet.log.down = true;
+  fleet.RunFor(minutes(15));
+  fleet.Expire();
+  fleet.log.down = false;
+  fleet.RunFor(minutes(1));
+  EXPECT_GE(fleet.log.checkpoints, 1u);
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    fleet.Kill(i);
+    fleet.Start(i);
+  }
+  EXPECT_TRUE(Converges(fleet, 3));
+  fleet.Append(ServiceRecord(4));
+  EXPECT_TRUE(Converges(fleet, 4));
+  ExpectWhole(fleet);
+}
+
+TEST_F(DistributionTest, RecordThatNobodyReadExpires_StreamGoesOnWithoutIt) {
+  FleetDriver fleet(Options());
+  fleet.Append(ServiceRecord(1));
+  ASSERT_TRUE(Converges(fleet, 1));
+  fleet.log.down = true;
+  fleet.RunFor(seconds(15));  // Long polls end.
+  fleet.Append(ServiceRecord(2));
+  fleet.Expire();
+  fleet.RunFor(minutes(15));
+  fleet.log.down = false;
+  fleet.RunFor(minutes(3));
+  fleet.Append(ServiceRecord(3));
+  EXPECT_TRUE(Converges(fleet, 2));
+  ExpectWhole(fleet);
+}
+
+TEST_F(DistributionTest, ManyRecords_CheckpointIsWrittenAboutOnce) {
+  FleetOptions options = Options();
+  options.config.checkpoint_records = 16;
+  FleetDriver fleet(options);
+  for (std::size_t i = 1; i <= 20; ++i) {
+    fleet.Append(ServiceRecord(i));
+  }
+  ASSERT_TRUE(Converges(fleet, 20));
+  fleet.RunFor(seconds(30));
+  EXPECT_EQ(fleet.log.checkpoints, 1u);
+}
+
+TEST_F(DistributionTest, WrongHashInAState_IsRefusedAndCounted) {
+  DistributionConfig config;
+  config.node = {"10.0.0.1:1"};
+  const Instant start{};
+  Distribution machine(config, start);
+  PackedState packed = PackState(wire::Checkpoint());
+  packed.hash[0] = static_cast<char>(packed.hash[0] + 1);
+  EXPECT_FALSE(UnpackState(packed.packed, packed.hash).has_value());
+  EXPECT_FALSE(UnpackState("not zstd at all", packed.hash).has_value());
+}
+
+TEST_F(DistributionTest, HostileOffsets_ChangeNothing) {
+  DistributionConfig config;
+  config.node = {"10.0.0.1:1"};
+  const Instant start{};
+  Distribution machine(config, start);
+  wire::ReleaseMessage message;
+  message.push.records.resize(3);
+  message.push.records[0].offset = -1;
+  message.push.records[1].offset = std::numeric_limits<std::int64_t>::max();
+  message.push.records[2].offset = 7;
+  message.__isset.push = true;
+  message.records_request.from_offset = -9;
+  message.__isset.records_request = true;
+  message.state.packed = "x";
+  message.__isset.state = true;
+  machine.OnEvent(MessageArrived{{"10.0.0.1:2"}, message}, start);
+  EXPECT_EQ(machine.fold().next_offset().value, 0u);
+  EXPECT_GE(machine.alarms().bad_messages, 1u);
+}
+
+}  // namespace
+}  // namespace tanagerledge
