--- a/apps/tanagerledge_load_main.cc
+++ b/apps/tanagerledge_load_main.cc
@@ -39,7 +39,7 @@
     std::ofstream file(json_path);
     file << ToJson(report).dump(2) << "\n";
   }
-  return report.releases_went_back == 0 ? kExitOk : kExitFailed;
+  return AllHeld(report) ? kExitOk : kExitFailed;
 }
 
 }  // namespace
@@ -61,6 +61,8 @@
       cxxopts::value<int>()->default_value("3"))(
       "seed", "Of arrivals and keys",
       cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "back-end", "Back end stand-in to ask afterwards which keys ran",
+      cxxopts::value<std::vector<std::string>>())(
       "json", "Also write the report to this file",
       cxxopts::value<std::string>()->default_value(""))("h,help",
                                                         "Show this help");
@@ -70,8 +72,9 @@
       std::cout << options.help()
                 << "\nExample:\n  tanagerledge_load --front 127.0.0.1:8001 "
                    "--call look:GET:/curve:50\n"
-                   "Exit codes: 0 good, 1 an entry went back to an older "
-                   "release, 2 bad usage.\n";
+                   "Exit codes: 0 good, 1 a promise did not hold (an entry "
+                   "went back to an older release, a key ran twice, or ran "
+                   "though refused as not-run), 2 bad usage.\n";
       return kExitOk;
     }
     if (arguments.count("front") == 0 || arguments.count("call") == 0) {
@@ -92,6 +95,9 @@
       }
       plan.kinds.push_back(*kind);
     }
+    if (arguments.count("back-end") > 0) {
+      plan.back_ends = arguments["back-end"].as<std::vector<std::string>>();
+    }
     const int duration = arguments["duration-ms"].as<int>();
     const int customers = arguments["customers"].as<int>();
     if (duration < 1 || duration > kMaxDurationMs || customers < 1) {
--- a/fakes/back_end.cc
+++ b/fakes/back_end.cc
@@ -23,7 +23,7 @@
 constexpr double kColdFactor = 3;
 constexpr int kCrashCode = 134;
 constexpr std::string_view kJson = "application/json";
-constexpr std::string_view kCrashHeader = "x-crash";
+constexpr std::string_view kCrashMark = "poison";
 
 std::int64_t UnixMicroseconds() {
   return std::chrono::duration_cast<microseconds>(
@@ -139,7 +139,7 @@
   ++this->running;
   this->most_running = std::max(this->most_running, this->running);
   this->CountRun(request);
-  if (!request.Header(kCrashHeader).empty()) {
+  if (request.Path().find(kCrashMark) != std::string_view::npos) {
     std::_Exit(kCrashCode);
   }
   this->loop.SleepFor(this->NextServiceTime());
@@ -182,24 +182,13 @@
 // Control -------------------------------------------------------------------
 
 HttpResponse BackEnd::Stats() const {
-  nlohmann::json doubled = nlohmann::json::array();
-  for (const auto& [key, count] : this->runs_of_key) {
-    if (count > 1) {
-      doubled.push_back(key);
-    }
-  }
-  nlohmann::json keys = nlohmann::json::array();
-  for (const auto& [key, count] : this->runs_of_key) {
-    keys.push_back(key);
-  }
   const nlohmann::json stats = {{"service", this->config.service.value},
                                 {"runs", this->runs},
                                 {"running", this->running},
                                 {"most_running", this->most_running},
                                 {"refused", this->refused},
                                 {"expired", this->expired},
-                                {"keys", std::move(keys)},
-                                {"doubled", std::move(doubled)}};
+                                {"runs_of_key", this->runs_of_key}};
   return MakeResponse(200, kJson, stats.dump() + "\n");
 }
 
--- a/fakes/back_end.h
+++ b/fakes/back_end.h
@@ -8,7 +8,7 @@
 //   POST /faults {"slow_factor": 10, "fail_fast": true, "shed": true}
 //   GET  /stats
 //
-// A request with the header `x-crash` ends the process while it runs.
+// A request with `poison` in its path ends the process while it runs.
 
 #ifndef TANAGERLEDGE_FAKES_BACK_END_H_
 #define TANAGERLEDGE_FAKES_BACK_END_H_
--- /dev/null
+++ b/src/load/key_check.cc
@@ -0,0 +1,78 @@
+#include "src/load/key_check.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <unordered_map>
+
+#include "src/adapters/http_client.h"
+#include "src/adapters/net.h"
+#include "src/load/load_run.h"
+
+namespace tanagerledge {
+namespace {
+
+constexpr std::chrono::milliseconds kTimeout{2000};
+constexpr std::size_t kMaxStatsBytes = 16 * 1024 * 1024;
+
+using RunsOfKey = std::unordered_map<std::string, int>;
+
+// False when the back end did not answer.
+bool AddRuns(IoLoop& loop, const std::string& back_end, RunsOfKey& runs) {
+  const auto address = ParseAddress(back_end);
+  if (!address) {
+    return false;
+  }
+  HttpClientOptions options;
+  options.max_body_bytes = kMaxStatsBytes;
+  HttpClient client(loop, *address, options);
+  HttpRequest request;
+  request.target = "/stats";
+  const auto answer = client.Send(request, kTimeout);
+  client.Close();
+  if (!answer) {
+    return false;
+  }
+  const auto stats = nlohmann::json::parse(answer->body, nullptr, false);
+  if (!stats.is_object()) {
+    return false;
+  }
+  const auto counts = stats.value("runs_of_key", nlohmann::json::object());
+  for (const auto& [key, count] : counts.items()) {
+    runs[key] += count.get<int>();
+  }
+  return true;
+}
+
+std::uint64_t CountRuns(const std::vector<std::string>& keys,
+                        const RunsOfKey& runs,
+                        bool (*wanted)(int)) {
+  return static_cast<std::uint64_t>(
+      std::ranges::count_if(keys, [&](const std::string& key) {
+        const auto found = runs.find(key);
+        return wanted(found == runs.end() ? 0 : found->second);
+      }));
+}
+
+}  // namespace
+
+void CheckKeys(IoLoop& loop,
+               const std::vector<std::string>& back_ends,
+               LoadReportTotal& report) {
+  RunsOfKey runs;
+  for (const std::string& back_end : back_ends) {
+    ++report.back_ends_asked;
+    if (!AddRuns(loop, back_end, runs)) {
+      ++report.back_ends_silent;
+    }
+  }
+  for (KindReport& kind : report.kinds) {
+    kind.keys_run_twice =
+        CountRuns(kind.sent_keys, runs, [](int count) { return count > 1; });
+    kind.keys_not_run_but_ran =
+        CountRuns(kind.not_run_keys, runs, [](int count) { return count > 0; });
+    kind.keys_ok_but_not_found =
+        CountRuns(kind.ok_keys, runs, [](int count) { return count == 0; });
+  }
+}
+
+}  // namespace tanagerledge
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "src/adapters/net.h"
+#include "src/load/key_check.h"
 #include "src/node/call_headers.h"
 #include "src/node/call_messages.h"
 #include "tanagerledge/outcome.h"
@@ -69,6 +70,9 @@
   for (const Front& front : this->fronts) {
     front.client->Close();
   }
+  if (!this->plan.back_ends.empty()) {
+    CheckKeys(this->loop, this->plan.back_ends, this->total);
+  }
   return std::move(this->total);
 }
 
@@ -100,16 +104,24 @@
   KindReport& report = this->total.kinds[kind_index];
   const std::string key = kind.keyed ? this->NewKey() : std::string();
   ++report.sent;
+  if (kind.keyed) {
+    report.sent_keys.push_back(key);
+  }
   const int attempts = kind.keyed ? this->plan.resends + 1 : 1;
   for (int attempt = 1; attempt <= attempts; ++attempt) {
     const std::string outcome =
         this->SendOnce(kind, report, key, attempt == attempts);
+    if (outcome == ToText(Outcome::kNotRun) && kind.keyed) {
+      auto& keys = attempt == 1 ? report.not_run_keys : report.later_not_run_keys;
+      keys.push_back(key);
+    }
     if (outcome != ToText(Outcome::kUnknown)) {
       return;
     }
-    ++report.resent;
+    if (attempt < attempts) {
+      ++report.resent;
+    }
   }
-  --report.resent;
 }
 
 // One send; its outcome as text. An unknown one counts only when it is final.
@@ -155,9 +167,6 @@
   if (outcome == ToText(Outcome::kNotRun)) {
     ++report.not_run;
     ++report.reasons[reason];
-    if (!key.empty()) {
-      report.not_run_keys.push_back(key);
-    }
   } else if (last) {
     ++report.unknown;
     ++report.reasons[reason];
@@ -195,6 +204,31 @@
 
 // Reports -------------------------------------------------------------------
 
+namespace {
+
+std::string CheckLine(const std::string& what,
+                      const LoadReportTotal& report,
+                      std::uint64_t KindReport::* count) {
+  std::uint64_t sum = 0;
+  for (const KindReport& kind : report.kinds) {
+    sum += kind.*count;
+  }
+  return what + ": " + std::to_string(sum) + "\n";
+}
+
+}  // namespace
+
+bool AllHeld(const LoadReportTotal& report) {
+  const bool keys_held =
+      std::ranges::all_of(report.kinds, [&](const KindReport& kind) {
+        const bool found =
+            report.back_ends_silent > 0 || kind.keys_ok_but_not_found == 0;
+        return kind.keys_run_twice == 0 && kind.keys_not_run_but_ran == 0 &&
+               found;
+      });
+  return keys_held && report.releases_went_back == 0;
+}
+
 std::string ToTable(const LoadReportTotal& report, milliseconds duration) {
   std::string table;
   std::array<char, 256> line{};
@@ -226,6 +260,15 @@
   }
   table += "releases that went back at an entry: " +
            std::to_string(report.releases_went_back) + "\n";
+  if (report.back_ends_asked > 0) {
+    table += CheckLine("keys run twice", report, &KindReport::keys_run_twice);
+    table += CheckLine("keys not-run but run", report,
+                       &KindReport::keys_not_run_but_ran);
+    if (report.back_ends_silent == 0) {
+      table += CheckLine("keys ok but not found", report,
+                         &KindReport::keys_ok_but_not_found);
+    }
+  }
   return table;
 }
 
@@ -242,8 +285,9 @@
                      {"reasons", kind.reasons},
                      {"p50_us", kind.Percentile(50).count()},
                      {"p99_us", kind.Percentile(99).count()},
-                     {"ok_keys", kind.ok_keys},
-                     {"not_run_keys", kind.not_run_keys}});
+                     {"keys_run_twice", kind.keys_run_twice},
+                     {"keys_not_run_but_ran", kind.keys_not_run_but_ran},
+                     {"keys_ok_but_not_found", kind.keys_ok_but_not_found}});
   }
   return {{"kinds", std::move(kinds)},
           {"releases_went_back", report.releases_went_back}};
--- a/src/load/load_run.h
+++ b/src/load/load_run.h
@@ -30,8 +30,15 @@
   std::uint64_t unknown = 0;  // Also when the entry gave no answer.
   std::map<std::string, std::uint64_t> reasons;  // Of those not ok.
   std::vector<std::chrono::microseconds> times;  // Of those ok.
+  std::vector<std::string> sent_keys;
   std::vector<std::string> ok_keys;
-  std::vector<std::string> not_run_keys;  // By the last answer.
+  std::vector<std::string> not_run_keys;  // By the first and only answer.
+  std::vector<std::string> later_not_run_keys;  // After an unknown outcome.
+
+  // Filled when the plan names back ends: see key_check.h.
+  std::uint64_t keys_run_twice = 0;
+  std::uint64_t keys_not_run_but_ran = 0;
+  std::uint64_t keys_ok_but_not_found = 0;
 
   std::chrono::microseconds Percentile(double percent) const;
 };
@@ -40,8 +47,13 @@
   std::vector<KindReport> kinds;
   // Answers of one entry with an older release than an earlier one had.
   std::uint64_t releases_went_back = 0;
+  int back_ends_asked = 0;
+  int back_ends_silent = 0;  // They died, or could not be asked.
 };
 
+// Whether every promise that a caller can check from outside has held.
+bool AllHeld(const LoadReportTotal& report);
+
 class LoadRun {
  public:
   LoadRun(IoLoop& io_loop, LoadPlan load_plan);
