--- a/src/node/entry.cc
+++ b/src/node/entry.cc
@@ -207,8 +207,8 @@
       return write->node;
     }
   }
-  return this->chooser.Choose(*call.snapshot, service, call.rank, this->zone,
-                              call.tried, Now(), worker.rng);
+  return this->chooser.Choose(*call.snapshot, service, call.rank, call.customer,
+                              this->zone, call.tried, Now(), worker.rng);
 }
 
 wire::CallReply Entry::SendTo(Worker& worker, Call& call, const NodeId& node) {
@@ -218,9 +218,10 @@
   const Instant end = Now();
   const bool answered = ReasonOf(reply) != Reason::kPeerUnreachable;
   if (answered) {
-    this->chooser.OnReply(
-        node, call.rank, FinishKindOf(reply), FromWire(reply.load),
-        std::chrono::duration_cast<microseconds>(end - start), end);
+    this->chooser.OnReply(node, call.rank, call.customer, FinishKindOf(reply),
+                          FromWire(reply.load),
+                          std::chrono::duration_cast<microseconds>(end - start),
+                          end);
   } else {
     this->chooser.OnUnreachable(node, end);
   }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -102,9 +102,9 @@
       this->control, this->control_peers, this->datagrams, member_config,
       [this](const std::vector<Member>& all) { this->OnMembers(all); });
   ReleaseHostConfig release_config;
-  release_config.node = this->settings.address;
-  release_config.zone = this->settings.zone;
-  release_config.seed = this->identity.incarnation.value;
+  release_config.distribution.node = this->settings.address;
+  release_config.distribution.zone = this->settings.zone;
+  release_config.distribution.seed = this->identity.incarnation.value;
   this->releases = std::make_unique<ReleaseHost>(
       this->control, this->control_peers, this->log, release_config,
       [this](std::shared_ptr<const FleetState> next) {
