--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -92,7 +92,7 @@
   fronts=() admins=() back_ends=()
   "$bin/log_store" --port 0 >"$work/$fleet.log_store" &
   log_pid=$!
-  wait_for 5 grep -q listening "$work/$fleet.log_store"
+  wait_for 5 grep -qs listening "$work/$fleet.log_store"
   log=$(sed -n 's/^listening //p' "$work/$fleet.log_store")
   local index zone
   for ((index = 1; index <= count; index++)); do
@@ -134,7 +134,8 @@
   for address in "${back_ends[@]}"; do arguments+=(--back-end "$address"); done
   for call in "$@"; do arguments+=(--call "$call"); done
   "$bin/tanagerledge_load" "${arguments[@]}" --duration-ms "$duration" \
-    --one-way-delay-us 3000 --timeout-ms 2500 | tee "$work/report"
+    --one-way-delay-us 3000 --timeout-ms 2500 --customers "${customers:-3}" |
+    tee "$work/report"
   return "${PIPESTATUS[0]}"
 }
 
