At most once: seats on the log, a deputy's promise while it is away

Cause: the first version spent one append for each intent and refused all keyed work while the log was away. Change: keys are split over partitions, each with a stream. The owner of a partition is the last seat that its stream accepts; all claims go through it, so both ways of admitting a key (log first, or off the log under the deputy's promise) live in one process. Group commit, read-back, renewal of seats so that expired records do no harm, doubt (unknown) for keys minted before an unclean change. Gate, partition, fold, batcher and index are pure; OnceHost wires them.

--- a/include/tanagerledge/once.h
+++ b/include/tanagerledge/once.h
@@ -1,9 +1,15 @@
 // At most once for non-idempotent calls that carry an idempotency key.
 //
 // Words used here:
-//   key      what the caller sends with each repeat of one call;
-//   attempt  one try of one node to run it, unique over nodes and starts;
-//   intent   the attempt's claim on the key; the first in the stream wins.
+//   key        what the caller sends with each repeat of one call;
+//   attempt    one try of one node to run it, unique over nodes and starts;
+//   partition  a share of all keys, by hash, with a stream on the log;
+//   owner      the process that decides for a partition, by the last seat that
+//              its stream accepts; all claims on its keys go through it;
+//   deputy     the process that may take the seat when the owner is dead;
+//   promise    the deputy's word that it will not: with it the owner may go on
+//              while the log is down.
+// docs/design/at-most-once.md says why no key can be admitted twice.
 
 #ifndef TANAGERLEDGE_ONCE_H_
 #define TANAGERLEDGE_ONCE_H_
@@ -12,6 +18,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -46,11 +53,27 @@
 
 OnceKeyId IdOf(const OnceKey& key);
 
+// When a UUIDv7 key was minted, by its caller's clock; nothing for other keys.
+std::optional<WallTime> MintTimeOf(std::string_view key);
+
+inline constexpr int kOncePartitions = 8;
+
+// Which partition a key belongs to. The same on every node, for ever.
+int PartitionOf(const OnceKeyId& key);
+
 // Attempts and results ------------------------------------------------------
 
-struct OnceAttempt {
+// One start of one node: a restart at the same address differs in `start`.
+struct OnceProcess {
   NodeId node;
-  Incarnation incarnation;
+  std::uint64_t start = 0;
+
+  auto operator<=>(const OnceProcess&) const = default;
+  bool operator==(const OnceProcess&) const = default;
+};
+
+struct OnceAttempt {
+  OnceProcess process;
   std::uint64_t number = 0;
 
   auto operator<=>(const OnceAttempt&) const = default;
@@ -85,14 +108,37 @@
   OnceResult result;
 };
 
-// This attempt will not run. kNotRun: no attempt for the key is known to have
-// started. kUnknown: an earlier one may have run.
+// This attempt will not run. kUnknown: an earlier attempt for the key may have
+// run, or nobody could be asked. kNotRun: certainly none did.
 struct OnceRefusal {
   Outcome outcome = Outcome::kNotRun;
   Reason reason = Reason::kKeyUnsettled;
   std::string text;
 };
 
+// Time ----------------------------------------------------------------------
+
+struct OnceTime {
+  Instant now{};
+  WallTime wall{};
+};
+
+// Node clocks may differ by this much; callers' clocks by any amount.
+inline constexpr std::chrono::milliseconds kMostClockError{2000};
+// A key may seem to come from this far in the future.
+inline constexpr std::chrono::milliseconds kMostMintLead{2000};
+
+struct OnceTiming {
+  // Repeats of a key get its outcome for so long, at least.
+  std::chrono::seconds resend_window{600};
+  // How long an owner waits for the log before it asks for a promise.
+  std::chrono::milliseconds log_patience{250};
+  // How long after its last record on the log an owner may go on without it.
+  std::chrono::seconds off_log_limit{1800};
+  // Appends that all partitions together may spend in a second.
+  int appends_per_second = 300;
+};
+
 using OnceVerdict = std::variant<OnceTicket, OnceStored, OnceRefusal>;
 
 }  // namespace tanagerledge
--- a/src/execution/once_wire.cc
+++ b/src/execution/once_wire.cc
@@ -2,6 +2,9 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <array>
+#include <charconv>
 #include <cstring>
 
 namespace tanagerledge {
@@ -26,6 +29,34 @@
   return {scope, hash.high64, hash.low64};
 }
 
+int PartitionOf(const OnceKeyId& key) {
+  return static_cast<int>(key.high % kOncePartitions);
+}
+
+// 8-4-4-4-12 hex digits: the first 12 are milliseconds, the 13th is the
+// version.
+std::optional<WallTime> MintTimeOf(std::string_view key) {
+  constexpr std::size_t kTextSize = 36;
+  constexpr std::array<std::size_t, 4> kDashes = {8, 13, 18, 23};
+  constexpr std::size_t kVersionAt = 14;
+  const bool has_shape = key.size() == kTextSize && key[kVersionAt] == '7' &&
+                         std::ranges::all_of(kDashes, [key](std::size_t at) {
+                           return key[at] == '-';
+                         });
+  if (!has_shape) {
+    return std::nullopt;
+  }
+  const std::string digits =
+      std::string(key.substr(0, 8)) + std::string(key.substr(9, 4));
+  std::int64_t millis = 0;
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), millis, 16);
+  if (error != std::errc() || end != digits.data() + digits.size()) {
+    return std::nullopt;
+  }
+  return FromMillis(millis);
+}
+
 std::string ToWire(const OnceKeyId& key) {
   std::string bytes(kKeyIdBytes, '\0');
   std::memcpy(bytes.data(), &key.scope, 8);
@@ -45,20 +76,39 @@
   return key;
 }
 
+wire::OnceProcess ToWire(const OnceProcess& process) {
+  wire::OnceProcess message;
+  message.node = process.node.value;
+  message.start = static_cast<std::int64_t>(process.start);
+  return message;
+}
+
 wire::OnceAttempt ToWire(const OnceAttempt& attempt) {
   wire::OnceAttempt message;
-  message.node = attempt.node.value;
-  message.incarnation = static_cast<std::int64_t>(attempt.incarnation.value);
+  message.process = ToWire(attempt.process);
   message.number = static_cast<std::int64_t>(attempt.number);
   return message;
 }
 
+OnceProcess ToProcess(const wire::OnceProcess& process) {
+  return {{process.node}, static_cast<std::uint64_t>(process.start)};
+}
+
 OnceAttempt ToAttempt(const wire::OnceAttempt& attempt) {
-  return {{attempt.node},
-          {static_cast<std::uint64_t>(attempt.incarnation)},
+  return {ToProcess(attempt.process),
           static_cast<std::uint64_t>(attempt.number)};
 }
 
+std::int64_t ToMillis(WallTime time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             time.time_since_epoch())
+      .count();
+}
+
+WallTime FromMillis(std::int64_t millis) {
+  return WallTime(std::chrono::milliseconds(millis));
+}
+
 wire::OnceResult ToWire(const OnceResult& result) {
   wire::OnceResult message;
   message.outcome = static_cast<std::int32_t>(result.outcome);
--- a/src/execution/once_wire.h
+++ b/src/execution/once_wire.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERLEDGE_SRC_EXECUTION_ONCE_WIRE_H_
 #define TANAGERLEDGE_SRC_EXECUTION_ONCE_WIRE_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,14 +14,20 @@
 namespace tanagerledge {
 
 std::string ToWire(const OnceKeyId& key);
+wire::OnceProcess ToWire(const OnceProcess& process);
 wire::OnceAttempt ToWire(const OnceAttempt& attempt);
 wire::OnceResult ToWire(const OnceResult& result);
 
 // Nothing when the message is out of range.
 std::optional<OnceKeyId> ToKeyId(std::string_view bytes);
-OnceAttempt ToAttempt(const wire::OnceAttempt& attempt);
 std::optional<OnceResult> ToResult(const wire::OnceResult& result);
 
+OnceProcess ToProcess(const wire::OnceProcess& process);
+OnceAttempt ToAttempt(const wire::OnceAttempt& attempt);
+
+std::int64_t ToMillis(WallTime time);
+WallTime FromMillis(std::int64_t millis);
+
 }  // namespace tanagerledge
 
 #endif  // TANAGERLEDGE_SRC_EXECUTION_ONCE_WIRE_H_
--- a/src/node/once_host.cc
+++ b/src/node/once_host.cc
@@ -1,168 +1,273 @@
 #include "src/node/once_host.h"
 
 #include <algorithm>
-#include <boost/fiber/future.hpp>
-#include <memory>
 #include <utility>
 
 #include "src/adapters/codec.h"
-#include "src/execution/once_wire.h"
+#include "src/execution/rendezvous.h"
 
 namespace tanagerledge {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr std::string_view kStream = "intents-0";
+constexpr milliseconds kTickPeriod{5};
+constexpr milliseconds kReadWait{200};
+constexpr milliseconds kReadTimeout{1500};
+constexpr milliseconds kReadPause{50};
+constexpr milliseconds kIdlePause{500};
+constexpr milliseconds kAppendTimeout{2000};
+constexpr milliseconds kVerdictSlack{500};
 constexpr std::size_t kRecordsPerRead = 256;
-constexpr milliseconds kLogTimeout{1000};
-constexpr milliseconds kNoWait{0};
+constexpr std::size_t kCandidates = 3;
+// Far enough down the order to meet other zones.
+constexpr std::size_t kRanked = 64;
 
-Instant Now() {
-  return std::chrono::steady_clock::now();
+OnceTime Now() {
+  return {std::chrono::steady_clock::now(), std::chrono::system_clock::now()};
 }
 
-milliseconds TimeLeft(Instant deadline) {
-  const auto left = std::chrono::duration_cast<milliseconds>(deadline - Now());
-  return std::clamp(left, kNoWait, kLogTimeout);
+std::string StreamOf(int partition) {
+  return "once-" + std::to_string(partition);
+}
+
+AppendEnd EndOf(const tl::expected<LogOffset, LogError>& offset) {
+  if (offset) {
+    return AppendEnd::kDone;
+  }
+  return offset.error().kind == LogErrorKind::kAmbiguous
+             ? AppendEnd::kAmbiguous
+             : AppendEnd::kNothingWritten;
+}
+
+bool IsLive(const Member& member) {
+  return member.state == MemberState::kAlive ||
+         member.state == MemberState::kSuspect;
+}
+
+// The best nodes, one for each zone first, so that no zone's loss takes both
+// the owner and the deputy.
+std::vector<NodeId> PickCandidates(
+    int partition,
+    const std::vector<NodeId>& live,
+    const std::unordered_map<NodeId, Zone>& zones) {
+  const std::vector<NodeId> ranked =
+      BestNodesFor(static_cast<std::uint64_t>(partition), live, kRanked);
+  std::vector<NodeId> picked;
+  std::vector<NodeId> rest;
+  std::vector<Zone> seen;
+  for (const NodeId& node : ranked) {
+    const Zone& zone = zones.at(node);
+    const bool is_new = std::ranges::find(seen, zone) == seen.end();
+    (is_new ? picked : rest).push_back(node);
+    seen.push_back(zone);
+  }
+  picked.insert(picked.end(), rest.begin(), rest.end());
+  picked.resize(std::min(picked.size(), kCandidates));
+  return picked;
 }
 
 }  // namespace
 
 OnceHost::OnceHost(IoLoop& control_loop,
-                   PeerPort& /*peer_port*/,
+                   PeerPort& peer_port,
                    LogPort& log_port,
                    OnceConfig host_config)
-    : control(control_loop), log(log_port), config(std::move(host_config)) {}
+    : control(control_loop),
+      peers(peer_port),
+      log(log_port),
+      config(std::move(host_config)),
+      process{this->config.self, this->config.incarnation.value},
+      gate(this->process, this->config.timing) {
+  for (int number = 0; number < kOncePartitions; ++number) {
+    this->partitions.emplace_back(number, this->process, this->config.timing);
+  }
+}
+
+void OnceHost::Start() {
+  this->control.Spawn([this] {
+    while (this->control.SleepFor(kTickPeriod)) {
+      this->Tick();
+    }
+  });
+  for (int number = 0; number < kOncePartitions; ++number) {
+    this->control.Spawn([this, number] { this->ReadStream(number); });
+  }
+}
 
-void OnceHost::Start() {}
+// Peers ---------------------------------------------------------------------
 
-void OnceHost::SetMembers(std::vector<Member> /*members*/) {}
+void OnceHost::SetMembers(std::vector<Member> members) {
+  std::unordered_map<NodeId, Zone> zones;
+  zones[this->config.self] = this->config.zone;
+  for (const Member& member : members) {
+    if (IsLive(member)) {
+      zones[member.node] = member.zone;
+    }
+  }
+  std::vector<NodeId> live;
+  std::ranges::transform(zones, std::back_inserter(live),
+                         [](const auto& item) { return item.first; });
+  for (int number = 0; number < kOncePartitions; ++number) {
+    const std::vector<NodeId> best = PickCandidates(number, live, zones);
+    this->gate.SetCandidates(number, best);
+    this->partitions[static_cast<std::size_t>(number)].SetCandidates(best,
+                                                                     live);
+  }
+}
 
 std::string OnceHost::OnPeerRequest(const NodeId& /*from*/,
                                     std::string_view /*request*/) {
   return {};
 }
 
-void OnceHost::OnPeerMessage(const NodeId& /*from*/,
-                             std::string_view /*message*/) {}
+void OnceHost::OnPeerMessage(const NodeId& from, std::string_view message) {
+  const auto decoded = Decode<wire::OnceMessage>(message);
+  if (decoded) {
+    this->Take(from, *decoded);
+    this->Pump();
+  }
+}
+
+void OnceHost::Take(const NodeId& from, const wire::OnceMessage& message) {
+  if (message.partition < 0 || message.partition >= kOncePartitions) {
+    return;
+  }
+  const auto number = static_cast<std::size_t>(message.partition);
+  this->partitions[number].OnMessage(from, message, Now());
+  this->gate.OnMessage(from, message, Now());
+}
+
+void OnceHost::Deliver(const SendOnce& send) {
+  if (send.to != this->config.self) {
+    this->peers.Send(send.to, Channel::kOnce, Encode(send.message));
+    return;
+  }
+  this->control.Spawn([this, message = send.message] {
+    this->Take(this->config.self, message);
+    this->Pump();
+  });
+}
 
 // Request path --------------------------------------------------------------
 
 OnceVerdict OnceHost::Begin(const OnceKey& key,
                             Fingerprint fingerprint,
                             Instant deadline) {
-  auto promise = std::make_shared<boost::fibers::promise<OnceVerdict>>();
-  boost::fibers::future<OnceVerdict> verdict = promise->get_future();
-  this->control.Spawn([this, promise, id = IdOf(key), fingerprint, deadline] {
-    promise->set_value(this->Decide(id, fingerprint, deadline));
+  if (key.value.size() > kMaxOnceKeyBytes) {
+    return OnceRefusal{Outcome::kNotRun, Reason::kBadRequest,
+                       "the idempotency key is too long"};
+  }
+  auto call = std::make_shared<Pending>();
+  boost::fibers::future<OnceVerdict> verdict = call->verdict.get_future();
+  this->control.Spawn([this, call, id = IdOf(key), fingerprint, deadline,
+                       mint = MintTimeOf(key.value)] {
+    const std::uint64_t number =
+        this->gate.Begin(id, mint, fingerprint, deadline, Now());
+    this->pending[number] = call;
+    this->Pump();
   });
+  const bool is_ready = verdict.wait_until(deadline + kVerdictSlack) ==
+                        boost::fibers::future_status::ready;
+  if (!is_ready && !call->is_taken.exchange(true)) {
+    return OnceRefusal{Outcome::kUnknown, Reason::kKeyUnsettled,
+                       "the control thread did not answer in time"};
+  }
   return verdict.get();
 }
 
 void OnceHost::Finish(const OnceTicket& ticket, OnceResult result) {
   this->control.Spawn([this, ticket, result = std::move(result)] {
-    this->AppendOutcome(ticket, result);
+    this->gate.Finish(ticket.attempt.number, result, Now());
+    this->Pump();
   });
 }
 
-// Control thread ------------------------------------------------------------
-
-OnceVerdict OnceHost::Decide(OnceKeyId key,
-                             Fingerprint fingerprint,
-                             Instant deadline) {
-  const OnceAttempt attempt{this->config.self, this->config.incarnation,
-                            ++this->attempts};
-  wire::IntentEntry intent;
-  intent.key = ToWire(key);
-  intent.attempt = ToWire(attempt);
-  intent.fingerprint = static_cast<std::int64_t>(fingerprint.value);
-  wire::IntentBatch batch;
-  batch.intents.push_back(std::move(intent));
-  const auto offset =
-      this->log.Append(kStream, Encode(batch), TimeLeft(deadline));
-  if (!offset) {
-    return OnceRefusal{Outcome::kNotRun, Reason::kKeyUnsettled,
-                       "the log did not take the intent"};
-  }
-  if (!this->CatchUp({offset->value + 1}, deadline)) {
-    return OnceRefusal{Outcome::kNotRun, Reason::kKeyUnsettled,
-                       "the log could not be read"};
-  }
-  const KnownKey& known = this->keys.at(key);
-  if (known.attempt == attempt) {
-    return OnceTicket{key, attempt, deadline};
-  }
-  if (known.fingerprint != fingerprint) {
-    return OnceRefusal{Outcome::kNotRun, Reason::kBadRequest,
-                       "the key belongs to another call"};
+void OnceHost::Tell(const DecidedOnce& decided) {
+  const auto found = this->pending.find(decided.number);
+  if (found == this->pending.end()) {
+    return;
   }
-  if (known.ended) {
-    return OnceStored{known.result};
+  const std::shared_ptr<Pending> call = found->second;
+  this->pending.erase(found);
+  if (!call->is_taken.exchange(true)) {
+    call->verdict.set_value(decided.verdict);
+  } else if (std::holds_alternative<OnceTicket>(decided.verdict)) {
+    const OnceResult never{Outcome::kNotRun, Reason::kDeadline, {}, false};
+    this->gate.Finish(decided.number, never, Now());
   }
-  return OnceRefusal{Outcome::kUnknown, Reason::kDuplicate,
-                     "an earlier attempt is not settled"};
 }
 
-// Folds the stream up to `through`, one past the last offset wanted.
-bool OnceHost::CatchUp(LogOffset through, Instant deadline) {
-  while (this->folded < through) {
-    const auto page = this->log.Read(kStream, this->folded, kRecordsPerRead,
-                                     kNoWait, TimeLeft(deadline));
-    if (!page || page->records.empty()) {
-      return false;
-    }
-    for (const LogRecord& record : page->records) {
-      if (record.offset >= this->folded) {
-        this->Fold(record.bytes);
-        this->folded = {record.offset.value + 1};
-      }
+// Control thread ------------------------------------------------------------
+
+void OnceHost::Tick() {
+  this->gate.OnTick(Now());
+  for (OncePartition& partition : this->partitions) {
+    if (partition.IsNeeded()) {
+      partition.OnTick(Now());
     }
   }
-  return true;
+  this->Pump();
 }
 
-void OnceHost::Fold(std::string_view record) {
-  const auto batch = Decode<wire::IntentBatch>(record);
-  if (!batch) {
-    return;
-  }
-  for (const wire::IntentEntry& intent : batch->intents) {
-    const std::optional<OnceKeyId> key = ToKeyId(intent.key);
-    if (key) {
-      const Fingerprint fingerprint{
-          static_cast<std::uint64_t>(intent.fingerprint)};
-      this->keys.try_emplace(
-          *key, KnownKey{ToAttempt(intent.attempt), fingerprint, false, {}});
+void OnceHost::Pump() {
+  for (int number = 0; number < kOncePartitions; ++number) {
+    OncePartition& partition =
+        this->partitions[static_cast<std::size_t>(number)];
+    for (const OnceAction& action : partition.TakeActions()) {
+      if (const auto* append = std::get_if<AppendOnce>(&action)) {
+        this->Append(number, *append);
+      } else {
+        this->Deliver(std::get<SendOnce>(action));
+      }
     }
   }
-  for (const wire::OutcomeEntry& entry : batch->outcomes) {
-    const std::optional<OnceKeyId> key = ToKeyId(entry.key);
-    const std::optional<OnceResult> result = ToResult(entry.result);
-    const auto found = key ? this->keys.find(*key) : this->keys.end();
-    if (!result || found == this->keys.end() ||
-        found->second.attempt != ToAttempt(entry.attempt)) {
-      continue;
-    }
-    if (result->outcome == Outcome::kNotRun) {
-      this->keys.erase(found);
+  for (const SendOnce& send : this->gate.TakeMessages()) {
+    this->Deliver(send);
+  }
+  for (const DecidedOnce& decided : this->gate.TakeDecided()) {
+    this->Tell(decided);
+  }
+}
+
+void OnceHost::Append(int number, const AppendOnce& append) {
+  this->control.Spawn([this, number, append] {
+    const auto offset =
+        this->log.Append(StreamOf(number), append.record, kAppendTimeout);
+    this->partitions[static_cast<std::size_t>(number)].OnAppendEnded(
+        append.proposal, EndOf(offset));
+  });
+}
+
+void OnceHost::ReadStream(int number) {
+  const OncePartition& partition =
+      this->partitions[static_cast<std::size_t>(number)];
+  while (!this->control.stopping()) {
+    if (partition.IsNeeded()) {
+      this->ReadOnce(number);
     } else {
-      found->second.ended = true;
-      found->second.result = *result;
+      this->control.SleepFor(kIdlePause);
     }
   }
 }
 
-void OnceHost::AppendOutcome(const OnceTicket& ticket,
-                             const OnceResult& result) {
-  wire::OutcomeEntry entry;
-  entry.key = ToWire(ticket.key);
-  entry.attempt = ToWire(ticket.attempt);
-  entry.result = ToWire(result);
-  wire::IntentBatch batch;
-  batch.outcomes.push_back(std::move(entry));
-  // A lost append leaves the key unsettled: repeats are told `unknown`.
-  (void)this->log.Append(kStream, Encode(batch), kLogTimeout);
+void OnceHost::ReadOnce(int number) {
+  OncePartition& partition = this->partitions[static_cast<std::size_t>(number)];
+  const LogOffset from = partition.next();
+  const auto page = this->log.Read(StreamOf(number), from, kRecordsPerRead,
+                                   kReadWait, kReadTimeout);
+  if (!page) {
+    if (page.error().kind == LogErrorKind::kExpired) {
+      partition.OnExpired(page.error().first_kept);
+    }
+    this->control.SleepFor(kReadPause);
+    return;
+  }
+  const std::uint64_t read_to = page->records.empty()
+                                    ? from.value
+                                    : page->records.back().offset.value + 1;
+  partition.OnRecords(page->records, read_to >= page->end.value, Now());
+  this->Pump();
 }
 
 }  // namespace tanagerledge
--- a/src/node/once_host.h
+++ b/src/node/once_host.h
@@ -16,13 +16,19 @@
 #ifndef TANAGERLEDGE_SRC_NODE_ONCE_HOST_H_
 #define TANAGERLEDGE_SRC_NODE_ONCE_HOST_H_
 
+#include <atomic>
+#include <boost/fiber/future.hpp>
 #include <cstdint>
+#include <deque>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "src/adapters/fiber_io.h"
+#include "src/execution/once_gate.h"
+#include "src/execution/once_partition.h"
 #include "tanagerledge/member.h"
 #include "tanagerledge/once.h"
 #include "tanagerledge/ports.h"
@@ -32,7 +38,10 @@
 struct OnceConfig {
   NodeId self;
   Zone zone;
-  Incarnation incarnation;  // Must differ between starts of a node.
+  // Must be greater at each start of a node, also after a crash: milliseconds
+  // of calendar time at the start will do.
+  Incarnation incarnation;
+  OnceTiming timing;
 };
 
 class OnceHost {
@@ -42,12 +51,13 @@
   // Control thread: starts the host's fibers. They end when `control` stops.
   void Start();
 
-  // Control thread.
+  // Control thread. Messages of Channel::kOnce; requests are not used.
   void SetMembers(std::vector<Member> members);
   std::string OnPeerRequest(const NodeId& from, std::string_view request);
   void OnPeerMessage(const NodeId& from, std::string_view message);
 
-  // Any fiber of any loop: suspends it until there is a verdict.
+  // Any fiber of any loop: suspends it until there is a verdict, which comes by
+  // the deadline.
   OnceVerdict Begin(const OnceKey& key,
                     Fingerprint fingerprint,
                     Instant deadline);
@@ -56,25 +66,36 @@
   // run: Outcome::kNotRun opens the key again.
   void Finish(const OnceTicket& ticket, OnceResult result);
 
+  // Control thread: for metrics and `explain`.
+  const OncePartition& partition(int number) const {
+    return this->partitions[static_cast<std::size_t>(number)];
+  }
+
  private:
-  struct KnownKey {
-    OnceAttempt attempt;
-    Fingerprint fingerprint;
-    bool ended = false;
-    OnceResult result;
+  // One Begin, between the fiber that waits and the control thread. Whoever
+  // sets `is_taken` first decides whether the verdict counts.
+  struct Pending {
+    boost::fibers::promise<OnceVerdict> verdict;
+    std::atomic<bool> is_taken{false};
   };
 
-  OnceVerdict Decide(OnceKeyId key, Fingerprint fingerprint, Instant deadline);
-  bool CatchUp(LogOffset through, Instant deadline);
-  void Fold(std::string_view record);
-  void AppendOutcome(const OnceTicket& ticket, const OnceResult& result);
+  void Tick();
+  void ReadStream(int number);
+  void ReadOnce(int number);
+  void Append(int number, const AppendOnce& append);
+  void Deliver(const SendOnce& send);
+  void Take(const NodeId& from, const wire::OnceMessage& message);
+  void Pump();
+  void Tell(const DecidedOnce& decided);
 
   IoLoop& control;
+  PeerPort& peers;
   LogPort& log;
   const OnceConfig config;
-  std::uint64_t attempts = 0;
-  LogOffset folded;
-  std::unordered_map<OnceKeyId, KnownKey> keys;
+  const OnceProcess process;
+  OnceGate gate;
+  std::deque<OncePartition> partitions;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Pending>> pending;
 };
 
 }  // namespace tanagerledge
--- /dev/null
+++ b/tests/execution/once_test.cc
@@ -0,0 +1,407 @@
+// At most once: no second run and no false answer, whatever fails; and each way
+// of going on, by itself.
+
+#include "tanagerledge/once.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdint>
+#include <iostream>
+
+#include "src/adapters/codec.h"
+#include "src/execution/once_wire.h"
+#include "tests/execution/once_world.h"
+
+namespace tanagerledge {
+namespace {
+
+using LogState = OnceWorld::LogState;
+
+// Quiet worlds --------------------------------------------------------------
+
+class OnceTest : public testing::Test {
+ protected:
+  OnceTest() : world(Quiet()) { this->world.RunFor(seconds(3)); }
+
+  static OnceWorld::Options Quiet() {
+    OnceWorld::Options options;
+    options.skewed_clocks = false;
+    return options;
+  }
+
+  // Sends a new call to a node that lives, and waits.
+  std::size_t Call(microseconds wait = milliseconds(1600)) {
+    const std::size_t call = this->world.NewCall();
+    std::size_t node = 0;
+    while (!this->world.IsUp(node)) {
+      ++node;
+    }
+    this->world.Send(call, node);
+    this->world.RunFor(wait);
+    return call;
+  }
+
+  bool IsServed(std::size_t call) const {
+    const OnceWorld::Call& made = this->world.calls[call];
+    return made.runs == 1 && made.answered;
+  }
+
+  OnceWorld world;
+};
+
+TEST_F(OnceTest, LogUp_CallRunsOnceWithinMilliseconds) {
+  const std::size_t call = this->Call(milliseconds(150));
+  EXPECT_TRUE(this->IsServed(call));
+}
+
+TEST_F(OnceTest, RepeatToAnotherNode_GetsTheStoredOutcome) {
+  const std::size_t call = this->Call();
+  this->world.Send(call, 2);
+  this->world.RunFor(seconds(1));
+  EXPECT_EQ(this->world.calls[call].runs, 1);
+  EXPECT_EQ(this->world.calls[call].unknown, 0);
+}
+
+TEST_F(OnceTest, LogDown_CallsGoOnByTheDeputysPromise) {
+  this->world.SetLog(LogState::kDown);
+  EXPECT_TRUE(this->IsServed(this->Call()));
+  EXPECT_EQ(this->world.PartitionAt(this->world.Owner()).mode(),
+            OnceMode::kOffLog);
+  EXPECT_TRUE(this->IsServed(this->Call(milliseconds(100))));
+}
+
+TEST_F(OnceTest, LogBack_OwnerSettlesItsPromiseAndReturns) {
+  this->world.SetLog(LogState::kDown);
+  this->Call();
+  this->world.SetLog(LogState::kUp);
+  this->world.RunFor(seconds(2));
+  const std::size_t owner = this->world.Owner();
+  EXPECT_EQ(this->world.PartitionAt(owner).mode(), OnceMode::kLogged);
+  EXPECT_TRUE(this->IsServed(this->Call()));
+}
+
+TEST_F(OnceTest, LogSlow_CallsStayInTime) {
+  this->world.SetLog(LogState::kSlow);
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_TRUE(this->IsServed(this->Call()));
+  }
+}
+
+TEST_F(OnceTest, DeputyDeadWhenTheLogGoes_CallIsRefused) {
+  this->world.Crash(this->world.Deputy());
+  this->world.SetLog(LogState::kDown);
+  const std::size_t call = this->Call();
+  EXPECT_EQ(this->world.calls[call].runs, 0);
+  EXPECT_EQ(this->world.calls[call].unknown, 1);
+}
+
+TEST_F(OnceTest, OwnerDies_DeputyTakesTheSeatAndNothingIsLost) {
+  const std::size_t before = this->Call();
+  this->world.Crash(this->world.Owner());
+  this->world.RunFor(seconds(1));
+  EXPECT_TRUE(this->IsServed(this->Call()));
+  this->world.Send(before, 3);
+  this->world.RunFor(seconds(1));
+  EXPECT_EQ(this->world.calls[before].runs, 1);
+  EXPECT_EQ(this->world.calls[before].unknown, 0);
+}
+
+TEST_F(OnceTest, OwnerDiesOffTheLog_ItsKeysAreNotRunAgain) {
+  this->world.SetLog(LogState::kDown);
+  const std::size_t call = this->world.NewCall();
+  this->world.Send(call, 3);
+  this->world.RunFor(seconds(1));
+  const std::size_t owner = this->world.Owner();
+  this->world.Crash(owner);
+  this->world.SetLog(LogState::kUp);
+  this->world.RunFor(seconds(1));
+  this->world.Restart(owner);
+  this->world.RunFor(seconds(3));
+  this->world.Send(call, 2);
+  this->world.RunFor(seconds(5));
+  EXPECT_EQ(this->world.calls[call].runs, 1);
+  EXPECT_NE(this->world.Owner(), this->world.size());
+  EXPECT_TRUE(this->IsServed(this->Call()));
+}
+
+TEST_F(OnceTest, RecordsExpired_NewcomersStillTakePart) {
+  this->Call();
+  this->world.RunFor(seconds(70));
+  this->world.ExpireAllBut(10);
+  for (std::size_t node = 0; node < this->world.size(); ++node) {
+    this->world.Crash(node);
+    this->world.Restart(node);
+  }
+  this->world.RunFor(seconds(20));
+  EXPECT_TRUE(this->IsServed(this->Call()));
+}
+
+// One partition ---------------------------------------------------------------
+
+// A partition by itself, with the test as its log and its peers.
+class OncePartitionTest : public testing::Test {
+ protected:
+  OncePartitionTest() {
+    this->partition.SetCandidates({{"a:1"}, {"b:1"}}, {{"a:1"}, {"b:1"}});
+    this->ReadBack({});
+    this->Pass(seconds(1));
+  }
+
+  // Ticks on, and reads back whatever it appends.
+  void Pass(milliseconds span) {
+    for (milliseconds passed{0}; passed < span; passed += milliseconds(50)) {
+      this->time.now += milliseconds(50);
+      this->time.wall += milliseconds(50);
+      this->partition.OnTick(this->time);
+      this->Take();
+    }
+  }
+
+  void Take() {
+    for (const OnceAction& action : this->partition.TakeActions()) {
+      if (const auto* append = std::get_if<AppendOnce>(&action)) {
+        if (!this->log_is_down) {
+          this->ReadBack(append->record);
+        }
+      } else {
+        this->Note(std::get<SendOnce>(action).message);
+      }
+    }
+  }
+
+  void ReadBack(const std::string& record) {
+    std::vector<LogRecord> page;
+    if (!record.empty()) {
+      page.push_back({this->partition.next(), record});
+    }
+    this->partition.OnRecords(page, true, this->time);
+  }
+
+  void Note(const wire::OnceMessage& message) {
+    if (message.__isset.answer) {
+      this->answers.push_back(static_cast<ClaimAnswer>(message.answer.answer));
+    }
+  }
+
+  void Tell(wire::OnceMessage message) {
+    message.start = 1;
+    this->partition.OnMessage({"b:1"}, message, this->time);
+    this->Take();
+  }
+
+  wire::OnceAttempt Attempt(int number) {
+    return ToWire(
+        OnceAttempt{{{"b:1"}, 1}, static_cast<std::uint64_t>(number)});
+  }
+
+  void Claim(int number) {
+    wire::OnceMessage message;
+    wire::OnceClaim claim;
+    claim.key = ToWire(this->key);
+    claim.attempt = this->Attempt(number);
+    claim.remaining_us = 1'000'000;
+    message.__set_claim(claim);
+    this->Tell(message);
+    this->Pass(milliseconds(200));
+  }
+
+  void FinishNotRun(int number) {
+    wire::OnceMessage message;
+    wire::OnceFinish finish;
+    finish.key = ToWire(this->key);
+    finish.attempt = this->Attempt(number);
+    finish.result = ToWire({Outcome::kNotRun, Reason::kDeadline, {}, false});
+    message.__set_finish(finish);
+    this->Tell(message);
+  }
+
+  // Node b, which this node made its deputy, takes the seat.
+  void LoseSeat() {
+    wire::OnceRecord record;
+    record.epoch = this->partition.state().epoch();
+    record.author = ToWire(OnceProcess{{"b:1"}, 1});
+    wire::OnceSeatChange change;
+    change.cause = static_cast<int>(SeatCause::kDeputy);
+    change.previous = record.epoch;
+    change.seat.owner = record.author;
+    record.__set_change(change);
+    this->ReadBack(Encode(record));
+  }
+
+  OncePartition partition{0, {{"a:1"}, 1}, {}};
+  OnceTime time{Instant(seconds(100)), WallTime(seconds(1'790'000'000))};
+  OnceKeyId key{1, 8, 3};
+  bool log_is_down = false;
+  std::vector<ClaimAnswer> answers;
+};
+
+TEST_F(OncePartitionTest, SeatLostBeforeNotRunIsLogged_KeyStaysTaken) {
+  this->Tell({});
+  this->Pass(seconds(2));
+  ASSERT_TRUE(this->partition.IsOwner());
+  this->Claim(16);
+  ASSERT_EQ(this->answers.back(), ClaimAnswer::kGranted);
+  this->log_is_down = true;
+  this->FinishNotRun(16);
+  this->LoseSeat();
+  const auto* entry = this->partition.state().keys.Find(this->key);
+  ASSERT_NE(entry, nullptr);
+  EXPECT_EQ(entry->number, 16u);
+}
+
+TEST_F(OncePartitionTest, NotRunLogged_KeyIsOpenAgain) {
+  this->Claim(16);
+  this->FinishNotRun(16);
+  this->Pass(seconds(1));
+  this->Claim(17);
+  EXPECT_EQ(this->answers.back(), ClaimAnswer::kGranted);
+  EXPECT_EQ(this->partition.state().keys.Find(this->key)->number, 17u);
+}
+
+// Random schedules ----------------------------------------------------------
+
+class OnceScheduleTest : public testing::Test {
+ protected:
+  struct Totals {
+    int calls = 0;
+    int runs = 0;
+    int second_runs = 0;
+    std::uint64_t false_answers = 0;
+    int unserved_after_healing = 0;
+  };
+
+  // One thing goes wrong, or right again. The worst moments come often: the
+  // log goes while an append is under way, the owner is parted from it alone.
+  static void Disturb(OnceWorld& world) {
+    const std::size_t node = world.Below(world.size());
+    const std::size_t owner = world.Owner();
+    const std::size_t target =
+        owner < world.size() && world.Chance() < 0.5 ? owner : node;
+    switch (world.Below(14)) {
+      case 0:
+      case 1:
+        world.SetLog(LogState::kDown);
+        break;
+      case 2:
+        world.SetLog(LogState::kSlow);
+        break;
+      case 3:
+      case 4:
+        world.SetLog(LogState::kUp);
+        break;
+      case 5:
+        world.Crash(target);
+        break;
+      case 6:
+        world.Crash(target);
+        world.Restart(target);
+        break;
+      case 7:
+        world.Pause(target, milliseconds(world.Below(8000)));
+        break;
+      case 8:
+        world.SetIsland(target, static_cast<int>(world.Below(2)));
+        break;
+      case 9:
+        world.SetSeesLog(target, world.Chance() < 0.4);
+        break;
+      case 10:
+        world.Restart(node);
+        break;
+      case 11:
+        world.SetSeesLog(node, true);
+        world.SetIsland(node, 0);
+        break;
+      case 12:
+        world.ExpireAllBut(world.Below(200));
+        break;
+      default:
+        for (std::size_t i = 0; i < world.size(); ++i) {
+          world.Restart(i);
+        }
+    }
+  }
+
+  static void Run(std::uint64_t seed, Totals& totals) {
+    OnceWorld::Options options;
+    options.seed = seed;
+    options.nodes = 3 + static_cast<int>(seed % 3);
+    options.loss = 0.01 * static_cast<double>(seed % 7);
+    options.append_loss = 0.2;
+    options.crash_in_run = 0.01;
+    // Keys without a mint time are safe within the resend window only, so they
+    // go where it is longer than the schedule.
+    const bool has_opaque_keys = seed % 2 == 0;
+    options.timing.resend_window = seconds(has_opaque_keys ? 300 : 20);
+    OnceWorld world(options);
+    world.RunFor(seconds(2));
+    constexpr int kSteps = 150;
+    for (int step = 0; step < kSteps; ++step) {
+      if (world.Chance() < 0.3) {
+        Disturb(world);
+      }
+      if (world.Chance() < 0.5) {
+        world.NewCall(!has_opaque_keys || world.Chance() < 0.5);
+      }
+      // Callers send again, mostly what is new.
+      const std::size_t made = world.calls.size();
+      for (std::size_t i = 0; made > 0 && i < 3; ++i) {
+        const std::size_t back = world.Below(std::min<std::size_t>(made, 12));
+        world.Send(made - 1 - back, world.Below(world.size()));
+      }
+      world.RunFor(milliseconds(world.Below(300)));
+    }
+    world.Heal();
+    // The longest time without the log, twice, and the doubt after it: by then
+    // a new key must be served.
+    world.RunFor(seconds(30));
+    const std::size_t fresh = world.NewCall();
+    for (int i = 0; i < 5; ++i) {
+      world.Send(fresh, world.Below(world.size()));
+      world.RunFor(seconds(2));
+    }
+    for (std::size_t call = 0; call < world.calls.size(); ++call) {
+      world.Send(call, world.Below(world.size()));
+    }
+    world.RunFor(seconds(3));
+    Judge(world, fresh, totals);
+  }
+
+  static void Judge(const OnceWorld& world, std::size_t fresh, Totals& totals) {
+    for (const OnceWorld::Call& call : world.calls) {
+      ++totals.calls;
+      totals.runs += call.runs > 0 ? 1 : 0;
+      totals.second_runs += call.runs > 1 ? 1 : 0;
+    }
+    totals.false_answers += world.false_answers;
+    totals.unserved_after_healing += world.calls[fresh].answered ? 0 : 1;
+  }
+
+  static Totals RunSeeds(std::uint64_t first, std::uint64_t count) {
+    Totals totals;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+      const Totals before = totals;
+      Run(seed, totals);
+      EXPECT_EQ(totals.second_runs, before.second_runs) << "seed " << seed;
+      EXPECT_EQ(totals.false_answers, before.false_answers) << "seed " << seed;
+      EXPECT_EQ(totals.unserved_after_healing, before.unserved_after_healing)
+          << "seed " << seed;
+    }
+    std::cout << "calls " << totals.calls << ", ran " << totals.runs << "\n";
+    return totals;
+  }
+};
+
+TEST_F(OnceScheduleTest, RandomFaults_NoSecondRunNoFalseAnswer) {
+  const Totals totals = RunSeeds(1, 250);
+  EXPECT_GT(totals.runs, totals.calls / 4);
+}
+
+// Seeds that once failed. 1045: a second run, after an owner that lost its seat
+// had opened a key again whose `not-run` was not on the log.
+TEST_F(OnceScheduleTest, SeedsThatFailed_StayMended) {
+  RunSeeds(1045, 1);
+}
+
+}  // namespace
+}  // namespace tanagerledge
