--- a/src/distribution/distribution.cc
+++ b/src/distribution/distribution.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t kMaxReplyBytes = 256 * 1024;
+constexpr std::size_t kSmallReplyBytes = 8 * 1024;
+constexpr std::size_t kPushesRemembered = 1024;
 constexpr std::size_t kRecordsPerRead = 500;
 constexpr std::size_t kMaxEndWaiters = 20'000;
 constexpr std::size_t kOwnZoneFloorAttempts = 4;
@@ -179,11 +181,8 @@
   }
   const LogPage& page = *event.result;
   this->floor.Learn(page.end);
-  std::vector<LogOffset> fresh;
   for (const LogRecord& record : page.records) {
-    if (this->Offer(record.offset, this->TakeFromLog(record))) {
-      fresh.push_back(record.offset);
-    }
+    this->Offer(record.offset, this->TakeFromLog(record));
   }
   if (this->gap && !page.records.empty()) {
     this->gap->cursor = {page.records.back().offset.value + 1};
@@ -197,12 +196,10 @@
   const bool in_charge =
       this->IsReader() &&
       this->topology->ReadersOf(this->config.zone).front() == this->config.node;
-  if (in_charge) {
-    this->PushFromHere(fresh);
-    return;
-  }
-  for (const LogOffset offset : fresh) {
-    this->spare_pushes[offset] = this->now + this->config.spare_push_delay;
+  const auto delay =
+      in_charge ? std::chrono::milliseconds(0) : this->config.spare_push_delay;
+  for (const LogRecord& record : page.records) {
+    this->push_due[record.offset] = this->now + delay;
   }
 }
 
@@ -253,13 +250,14 @@
 
 void Distribution::OnPush(const NodeId& from,
                           const wire::ReleaseMessage& message) {
-  const std::vector<wire::StreamRecord>& records = message.push.records;
-  for (const wire::StreamRecord& record : records) {
-    if (const auto offset = OffsetFrom(record.offset)) {
-      this->spare_pushes.erase(*offset);
+  this->OfferAll(message.push.records);
+  std::vector<LogOffset> fresh;
+  for (const wire::StreamRecord& record : message.push.records) {
+    const auto offset = OffsetFrom(record.offset);
+    if (offset && this->IsFirstPush(*offset)) {
+      fresh.push_back(*offset);
     }
   }
-  const std::vector<LogOffset> fresh = this->OfferAll(records);
   if (fresh.empty()) {
     return;
   }
@@ -305,8 +303,7 @@
     ++this->own_alarms.bad_messages;
     return;
   }
-  auto range =
-      this->store.Range(*first, this->own_fold.next_offset(), kMaxReplyBytes);
+  auto range = this->RangeFrom(*first);
   wire::RecordsReply reply;
   reply.state_needed = !range;
   if (range) {
@@ -317,6 +314,17 @@
   this->Send(from, SendPurpose::kRepair, std::move(out));
 }
 
+// Nothing when the whole state is the shorter answer.
+std::optional<std::vector<wire::StreamRecord>> Distribution::RangeFrom(
+    LogOffset first) {
+  const LogOffset next = this->own_fold.next_offset();
+  auto range = this->store.Range(first, next, kSmallReplyBytes);
+  if (!range && this->store.Has(first)) {
+    range = this->store.Range(first, next, this->Packed().packed.size());
+  }
+  return range;
+}
+
 void Distribution::OnRecords(const NodeId& from,
                              const wire::ReleaseMessage& message) {
   this->records_request.Close();
@@ -484,6 +492,16 @@
 
 // Spreading -----------------------------------------------------------------
 
+// Pushes go on by their first coming, even when repair was faster: the nodes
+// further down have nobody else.
+bool Distribution::IsFirstPush(LogOffset offset) {
+  const bool first = this->pushed.insert(offset).second;
+  if (this->pushed.size() > kPushesRemembered) {
+    this->pushed.erase(this->pushed.begin());
+  }
+  return first;
+}
+
 std::vector<wire::StreamRecord> Distribution::RecordsAt(
     const std::vector<LogOffset>& offsets) const {
   std::vector<wire::StreamRecord> records;
@@ -589,7 +607,7 @@
   this->SeekRecords();
   this->ReadEnd();
   this->ReadTail();
-  this->PushSpare();
+  this->PushWhatIsDue();
   this->WriteCheckpoint();
   this->Summarize();
 }
@@ -709,15 +727,16 @@
                                   kRecordsPerRead, this->config.long_poll});
 }
 
-void Distribution::PushSpare() {
+// A reader that is not in charge pushes only what no push has brought by then.
+void Distribution::PushWhatIsDue() {
   std::vector<LogOffset> due;
-  for (const auto& [offset, at] : this->spare_pushes) {
-    if (at <= this->now) {
+  std::erase_if(this->push_due, [this, &due](const auto& entry) {
+    const auto& [offset, at] = entry;
+    if (at <= this->now && this->IsFirstPush(offset)) {
       due.push_back(offset);
     }
-  }
-  std::ranges::for_each(
-      due, [this](LogOffset offset) { this->spare_pushes.erase(offset); });
+    return at <= this->now;
+  });
   this->PushFromHere(due);
 }
 
--- a/src/distribution/distribution.h
+++ b/src/distribution/distribution.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -103,6 +104,8 @@
   void PutInForceIfNew();
 
   // Spreading ---------------------------------------------------------------
+  bool IsFirstPush(LogOffset offset);
+  std::optional<std::vector<wire::StreamRecord>> RangeFrom(LogOffset first);
   std::vector<wire::StreamRecord> RecordsAt(
       const std::vector<LogOffset>& offsets) const;
   void PushFromHere(const std::vector<LogOffset>& offsets);
@@ -122,7 +125,7 @@
   void SeekRecords();
   void ReadTail();
   void ReadEnd();
-  void PushSpare();
+  void PushWhatIsDue();
   void WriteCheckpoint();
   void Summarize();
 
@@ -175,7 +178,8 @@
   TransferSlots slots;
   PackedState packed;
   std::optional<LogOffset> packed_at;
-  std::map<LogOffset, Instant> spare_pushes;  // When to push what was read.
+  std::map<LogOffset, Instant> push_due;  // When to push what was read.
+  std::set<LogOffset> pushed;             // Seen in a push, or pushed.
   Instant summary_at;
 };
 
--- a/tests/distribution/distribution_test.cc
+++ b/tests/distribution/distribution_test.cc
@@ -65,6 +65,38 @@
   EXPECT_LE(fleet.messages[pushes] - before, 90u + 3u);
 }
 
+TEST_F(DistributionTest, RepairFasterThanThePush_PushStillGoesOn) {
+  DistributionConfig config;
+  config.node = {"10.0.0.1:2"};
+  config.zone = {"a"};
+  config.fan_out = 1;
+  const Instant start{};
+  Distribution machine(config, start);
+  std::vector<Member> members(3);
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    members[i].node = {"10.0.0.1:" + std::to_string(i + 1)};
+    members[i].zone = config.zone;
+  }
+  machine.OnEvent(MembersChanged{std::make_shared<const Topology>(members)},
+                  start);
+  wire::ReleaseMessage repair;
+  repair.records.records.emplace_back().bytes = ServiceRecord(1);
+  repair.__isset.records = true;
+  machine.OnEvent(MessageArrived{members[0].node, repair}, start);
+  ASSERT_EQ(machine.fold().next_offset().value, 1u);
+  wire::ReleaseMessage push;
+  push.push.records = repair.records.records;
+  push.push.root = members[0].node.value;
+  push.__isset.push = true;
+  const auto actions =
+      machine.OnEvent(MessageArrived{members[0].node, push}, start);
+  EXPECT_TRUE(std::ranges::any_of(actions, [&members](const auto& action) {
+    const auto* const send = std::get_if<SendRelease>(&action);
+    return send != nullptr && send->message.__isset.push &&
+           send->to == members[2].node;
+  }));
+}
+
 TEST_F(DistributionTest, HalfOfAllMessagesLost_StillConverges) {
   FleetOptions options = Options();
   options.loss = 0.5;
--- a/tests/distribution/fleet_driver.h
+++ b/tests/distribution/fleet_driver.h
@@ -77,7 +77,8 @@
   Instant started_at{};
   Instant paused_until{};
   std::optional<Instant> ready_at;
-  ReleaseNumber served;  // The newest it ever served, over all starts.
+  Instant in_force_at{};  // When it put its latest release in force.
+  ReleaseNumber served;   // The newest it ever served, over all starts.
   std::size_t sent = 0;
   std::size_t transfers = 0;
   std::size_t most_transfers = 0;
@@ -348,6 +349,7 @@
                              std::to_string(state.release.value));
     }
     node.served = std::max(node.served, state.release);
+    node.in_force_at = this->now;
     const auto [known, fresh] =
         this->digests.try_emplace(state.release, state.digest);
     if (!fresh && known->second != state.digest) {
