--- a/src/adapters/codec.h
+++ b/src/adapters/codec.h
@@ -6,6 +6,8 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <exception>
 #include <memory>
 #include <string>
@@ -18,6 +20,10 @@
   std::string text;
 };
 
+// Elements in one list, set or map. The reader makes room for as many as a
+// message claims, so that a claim must not cost much more than its bytes.
+inline constexpr std::int32_t kMaxContainerElements = 65'536;
+
 // Encodes a Thrift struct.
 template <typename Message>
 std::string Encode(const Message& message) {
@@ -36,8 +42,9 @@
   auto buffer = std::make_shared<TMemoryBuffer>(
       data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
   const auto limit = static_cast<std::int32_t>(bytes.size());
+  const auto container_limit = std::min(limit, kMaxContainerElements);
   apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(
-      buffer, limit, limit);
+      buffer, limit, container_limit);
   Message message;
   try {
     message.read(&protocol);
--- a/src/adapters/log_client.cc
+++ b/src/adapters/log_client.cc
@@ -96,7 +96,7 @@
   if (!IsStreamName(stream)) {
     return tl::unexpected(Refused("not a stream name"));
   }
-  if (record.size() > kMaxRecordBytes) {
+  if (record.size() > kMaxLogRecordBytes) {
     return tl::unexpected(Refused("the record is too large"));
   }
   HttpRequest request;
--- a/src/adapters/log_page.cc
+++ b/src/adapters/log_page.cc
@@ -38,7 +38,7 @@
     }
     const std::uint32_t length = ReadLength(page);
     page.remove_prefix(kLengthBytes);
-    if (length > kMaxRecordBytes) {
+    if (length > kMaxLogRecordBytes) {
       return tl::unexpected(std::string("a record is too large"));
     }
     if (length > page.size()) {
--- a/src/adapters/log_page.h
+++ b/src/adapters/log_page.h
@@ -14,10 +14,10 @@
 
 namespace tanagerledge {
 
-inline constexpr std::size_t kMaxRecordBytes = 1024 * 1024;
-inline constexpr std::size_t kMaxPageBytes = 4 * 1024 * 1024;
+inline constexpr std::size_t kMaxLogRecordBytes = 4 * 1024 * 1024;
+inline constexpr std::size_t kMaxPageBytes = 2 * kMaxLogRecordBytes;
 
-// Adds one record, of at most kMaxRecordBytes, to a page.
+// Adds one record, of at most kMaxLogRecordBytes, to a page.
 void AppendToPage(std::string& page, std::string_view record);
 
 // Takes a page apart; its records have consecutive offsets from `first`. The
--- /dev/null
+++ b/tests/fuzz/message_fuzz_test.cc
@@ -0,0 +1,135 @@
+// Thrift messages and records from outside: never a crash, and never more
+// memory than the bytes are worth.
+
+#include <gtest/gtest.h>
+#include <peer_types.h>
+#include <release_types.h>
+
+#include "src/adapters/codec.h"
+#include "tanagerledge/fold.h"
+#include "tests/fuzz/memory.h"
+#include "tests/fuzz/mutation.h"
+
+namespace tanagerledge {
+namespace {
+
+wire::ReleaseRecord MakeRecord() {
+  wire::ServiceChange service;
+  service.kind = wire::ChangeKind::ADD;
+  service.item.name = "curves";
+  wire::ReleaseRecord record;
+  wire::Publish publish;
+  publish.publish_id = "id";
+  publish.operator_name = "eira";
+  publish.note.services = {service, service};
+  record.__set_publish(publish);
+  return record;
+}
+
+wire::CallRequest MakeCall() {
+  wire::Header header;
+  header.name = "accept";
+  header.value = "text/plain";
+  wire::CallRequest call;
+  call.service_name = "curves";
+  call.headers = {header, header};
+  call.body = std::string(50, 'b');
+  return call;
+}
+
+// Allocation while decoding, of which a small part is the protocol's own.
+template <typename Message>
+std::size_t BytesToDecode(const std::string& bytes) {
+  const std::size_t before = AllocatedBytes();
+  const auto message = Decode<Message>(bytes);
+  (void)message.has_value();
+  return AllocatedBytes() - before;
+}
+
+class MessageFuzz : public testing::Test {
+ protected:
+  template <typename Message>
+  static void FuzzMessage(const Message& good) {
+    Fuzz({Encode(good), Encode(Message())}, [](const std::string& bytes) {
+      EXPECT_LT(BytesToDecode<Message>(bytes), kAllowedBytes);
+    });
+  }
+
+  // For inputs of some hundred bytes.
+  static constexpr std::size_t kAllowedBytes = 1024 * 1024;
+};
+
+TEST_F(MessageFuzz, Hello_IsDecodedOrRefused) {
+  FuzzMessage(wire::Hello());
+}
+
+TEST_F(MessageFuzz, Call_IsDecodedOrRefused) {
+  FuzzMessage(MakeCall());
+}
+
+TEST_F(MessageFuzz, Reply_IsDecodedOrRefused) {
+  wire::CallReply reply;
+  reply.headers = MakeCall().headers;
+  reply.__set_load(wire::LoadReport());
+  FuzzMessage(reply);
+}
+
+TEST_F(MessageFuzz, Record_IsDecodedOrRefused) {
+  FuzzMessage(MakeRecord());
+}
+
+TEST_F(MessageFuzz, DeepNesting_IsRefusedWithoutARunawayStack) {
+  constexpr char kStructOfStruct = 0x1c;  // Field 1 above the last, a struct.
+  const std::string nested(1'000'000, kStructOfStruct);
+  EXPECT_FALSE(Decode<wire::CallRequest>(nested).has_value());
+  EXPECT_FALSE(Decode<wire::ReleaseRecord>(nested).has_value());
+}
+
+TEST_F(MessageFuzz, HugeClaimedList_IsRefusedBeforeItIsAllocated) {
+  // Field 6, a list, of as many structs as the frame has bytes, and none there.
+  const std::string filler(1'000'000, '\xff');
+  const std::string claimed = std::string("\x69\xfc\xbf\x84\x3d", 5) + filler;
+  EXPECT_LT(BytesToDecode<wire::CallRequest>(claimed), 16u * 1024 * 1024);
+  EXPECT_FALSE(Decode<wire::CallRequest>(claimed).has_value());
+}
+
+TEST_F(MessageFuzz, ListBeyondTheFrame_IsRefused) {
+  const std::string claimed("\x69\xfc\xff\xff\xff\xff\x07", 7);
+  EXPECT_LT(BytesToDecode<wire::CallRequest>(claimed), kAllowedBytes);
+  EXPECT_FALSE(Decode<wire::CallRequest>(claimed).has_value());
+}
+
+// A record that is spoiled changes the state whole or not at all, and two folds
+// agree on it whatever it is.
+TEST_F(MessageFuzz, SpoiledRecords_LeaveTwoFoldsEqual) {
+  Fold left;
+  Fold right;
+  std::uint64_t offset = 0;
+  Fuzz({Encode(MakeRecord())}, [&](const std::string& bytes) {
+    EXPECT_EQ(left.Apply({offset}, bytes), right.Apply({offset}, bytes));
+    ++offset;
+    EXPECT_EQ(left.State()->digest, right.State()->digest);
+    EXPECT_EQ(left.next_offset().value, offset);
+  });
+}
+
+TEST_F(MessageFuzz, SpoiledCheckpoints_NeverLowerAFold) {
+  Fold source;
+  wire::ReleaseRecord record = MakeRecord();
+  record.publish.note.services.resize(1);
+  ASSERT_TRUE(source.Apply({0}, record).has_value());
+  ASSERT_EQ(source.State()->release.value, 1u);
+  const std::string good = Encode(source.ToCheckpoint());
+  Fold fold;
+  ReleaseNumber last;
+  Fuzz({good}, [&](const std::string& bytes) {
+    if (const auto checkpoint = Decode<wire::Checkpoint>(bytes)) {
+      fold.Adopt(*checkpoint);
+    }
+    EXPECT_GE(fold.State()->release, last);
+    last = fold.State()->release;
+  });
+}
+
+}  // namespace
+}  // namespace tanagerledge
