--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -41,6 +41,14 @@
   return ParseAddress(text).value();
 }
 
+OnceConfig OnceConfigOf(const PeerIdentity& identity) {
+  OnceConfig config;
+  config.self = identity.node;
+  config.zone = identity.zone;
+  config.incarnation = identity.incarnation;
+  return config;
+}
+
 }  // namespace
 
 // What one worker thread owns.
@@ -81,8 +89,7 @@
       once(this->control,
            this->control_peers,
            this->log,
-           {this->settings.address, this->settings.zone,
-            this->identity.incarnation}),
+           OnceConfigOf(this->identity)),
       executor(this->back_end, this->suspects, this->once, this->decisions),
       entry(this->settings.address,
             this->settings.zone,
