--- a/idl/membership.thrift
+++ b/idl/membership.thrift
@@ -84,12 +84,16 @@
 
 struct ReachQuery {
   1: i64 release
+  /** Another node named the receiver: answer, whoever sums up by its view. */
+  2: bool redirected
 }
 
 struct ReachReply {
   /** Members of the zone that the replying node knows to live. */
   1: i32 members
   2: SubtreeReach reach
+  /** Who sums up the zone in the replying node's view, if another one. */
+  3: optional string summarizer
 }
 
 struct MembershipRequest {
--- a/include/tanagerledge/membership.h
+++ b/include/tanagerledge/membership.h
@@ -70,6 +70,13 @@
 using MembershipAction = std::variant<SendDatagram, SendSync>;
 using MembershipActions = std::vector<MembershipAction>;
 
+// The node to ask how far a release has spread in a zone.
+struct ZoneSummarizer {
+  Zone zone;
+  NodeId node;
+  std::size_t members = 0;  // Live ones of the zone, as known here.
+};
+
 // Machine -------------------------------------------------------------------
 
 class Membership {
@@ -117,8 +124,8 @@
 
   // Reach ------------------------------------------------------------------
 
-  // Who sums up each zone: to be asked with a ReachQuery.
-  std::vector<std::pair<Zone, NodeId>> ZoneSummarizers() const;
+  // Who sums up each zone: to be asked with a ReachQuery. By zone.
+  std::vector<ZoneSummarizer> ZoneSummarizers() const;
   wire::ReachReply OnReachQuery(const wire::ReachQuery& query, Instant now);
 
  private:
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -11,6 +11,7 @@
 #include "src/membership/member_table.h"
 #include "src/membership/member_wire.h"
 #include "src/membership/probe_order.h"
+#include "src/membership/reach_tree.h"
 #include "src/membership/rumor_queue.h"
 #include "src/membership/zone_watch.h"
 
@@ -144,6 +145,7 @@
   void AddContacts(wire::MembershipDatagram& message, Instant now);
   void StartSync(Instant now, MembershipActions& out);
   void Sweep(Instant now);
+  void ReportReach(Instant now, MembershipActions& out);
 
   // Datagrams ---------------------------------------------------------------
   wire::MembershipDatagram NewMessage(wire::DatagramKind::type kind) const;
@@ -189,6 +191,7 @@
   RumorQueue rumors;
   ProbeOrder order;
   ZoneWatch zones;
+  ReachTree reach;
   ByteBudget gossip_budget;
   ByteBudget contact_budget;
   ByteBudget sync_budget;
@@ -700,6 +703,17 @@
   }
 }
 
+void Membership::State::ReportReach(Instant now, MembershipActions& out) {
+  auto report = this->reach.Tick(this->table, now);
+  if (!report) {
+    return;
+  }
+  auto message = this->NewMessage(wire::DatagramKind::REACH);
+  message.__set_reach(std::move(report->reach));
+  out.emplace_back(SendDatagram{std::move(report->to), std::move(message),
+                                MembershipPurpose::kReach});
+}
+
 // Datagrams -----------------------------------------------------------------
 
 wire::MembershipDatagram Membership::State::NewMessage(
@@ -943,6 +957,7 @@
   s.Join(now, out);
   s.StartSync(now, out);
   s.Gossip(now, out);
+  s.ReportReach(now, out);
   s.Sweep(now);
   std::erase_if(s.relays,
                 [now](const State::Relay& relay) { return now >= relay.ends; });
@@ -983,6 +998,9 @@
     case wire::DatagramKind::DIGEST_DIFFERENCE:
       s.OnDifference(from, message, now, out);
       break;
+    case wire::DatagramKind::REACH:
+      s.reach.OnReport(from, message.reach, now);
+      break;
     default:
       break;
   }
@@ -1138,12 +1156,31 @@
 
 // Reach ---------------------------------------------------------------------
 
-std::vector<std::pair<Zone, NodeId>> Membership::ZoneSummarizers() const {
-  return {};
+std::vector<ZoneSummarizer> Membership::ZoneSummarizers() const {
+  const MemberTable& table = this->state->table;
+  std::vector<ZoneSummarizer> summarizers;
+  for (ZoneIndex zone = 0; zone < table.zone_count(); ++zone) {
+    if (const auto root = ReachTree::Root(table, zone)) {
+      summarizers.push_back(
+          {table.ZoneName(zone), table.at(*root).node, table.listed_in(zone)});
+    }
+  }
+  std::ranges::sort(summarizers, {}, &ZoneSummarizer::zone);
+  return summarizers;
 }
 
-wire::ReachReply Membership::OnReachQuery(const wire::ReachQuery&, Instant) {
-  return {};
+wire::ReachReply Membership::OnReachQuery(const wire::ReachQuery& query,
+                                          Instant now) {
+  const State& s = *this->state;
+  const ZoneIndex zone = s.table.self().zone;
+  wire::ReachReply reply;
+  reply.members = static_cast<std::int32_t>(s.table.listed_in(zone));
+  reply.reach = s.reach.Summary(s.table, now);
+  const auto root = ReachTree::Root(s.table, zone);
+  if (root && *root != kSelfSlot && !query.redirected) {
+    reply.__set_summarizer(s.table.at(*root).node.value);
+  }
+  return reply;
 }
 
 }  // namespace tanagerledge
--- a/src/node/membership_host.cc
+++ b/src/node/membership_host.cc
@@ -1,6 +1,9 @@
 #include "src/node/membership_host.h"
 
 #include <algorithm>
+#include <boost/fiber/future/async.hpp>
+#include <boost/fiber/future/future.hpp>
+#include <iterator>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -189,57 +192,90 @@
 
 // Reach ---------------------------------------------------------------------
 
+namespace {
+
+ZoneReach ToZoneReach(const ZoneSummarizer& zone,
+                      const wire::ReachReply& reply,
+                      std::int64_t release) {
+  ZoneReach result;
+  result.zone = zone.zone;
+  result.answered = true;
+  result.members = static_cast<std::size_t>(std::max(reply.members, 0));
+  for (const auto& count : reply.reach.counts) {
+    if (count.release >= release) {
+      result.in_force += static_cast<std::size_t>(std::max(count.nodes, 0));
+    }
+  }
+  for (const auto& laggard : reply.reach.laggards) {
+    const bool lags = laggard.release >= 0 && laggard.release < release;
+    if (lags && result.laggards.size() < kMaxLaggards) {
+      const int last = static_cast<int>(LagReason::kSuspect);
+      result.laggards.push_back(
+          {{laggard.node},
+           {static_cast<std::uint64_t>(laggard.release)},
+           static_cast<LagReason>(std::clamp(laggard.reason, 0, last))});
+    }
+  }
+  return result;
+}
+
+}  // namespace
+
 ReachReport MembershipHost::Reach(ReleaseNumber release) {
   ReachReport report;
   report.release = release;
-  for (const auto& [zone, summarizer] : this->machine.ZoneSummarizers()) {
-    report.zones.push_back(this->AskZone(zone, summarizer, release));
+  std::vector<boost::fibers::future<ZoneReach>> answers;
+  for (const ZoneSummarizer& zone : this->machine.ZoneSummarizers()) {
+    answers.push_back(boost::fibers::async(
+        [this, zone, release] { return this->AskZone(zone, release); }));
   }
+  std::ranges::transform(answers, std::back_inserter(report.zones),
+                         [](auto& answer) { return answer.get(); });
   return report;
 }
 
-ZoneReach MembershipHost::AskZone(const Zone& zone,
-                                  const NodeId& summarizer,
+ZoneReach MembershipHost::AskZone(const ZoneSummarizer& zone,
                                   ReleaseNumber release) {
-  ZoneReach result;
-  result.zone = zone;
-  wire::MembershipRequest request;
-  request.fleet = this->fleet;
-  request.reach.release = static_cast<std::int64_t>(release.value);
-  request.__isset.reach = true;
-  std::string bytes;
-  if (summarizer == this->self) {
-    bytes = this->OnPeerRequest(this->self, Encode(request));
-  } else {
-    auto reply = this->peers.Request(summarizer, Channel::kReach,
-                                     Encode(request), kReachTimeout);
-    if (!reply) {
-      return result;
-    }
-    bytes = std::move(*reply);
+  auto reply = this->QueryReach(zone.node, release, false);
+  if (reply && reply->__isset.summarizer) {
+    reply = this->QueryReach({reply->summarizer}, release, true);
   }
-  const auto reply = Decode<wire::MembershipReply>(bytes);
-  if (!reply || !reply->__isset.reach) {
-    return result;
+  if (!reply) {
+    ZoneReach unknown;
+    unknown.zone = zone.zone;
+    unknown.members = zone.members;
+    return unknown;
   }
-  result.answered = true;
-  result.members =
-      static_cast<std::size_t>(std::clamp(reply->reach.members, 0, 1 << 20));
-  for (const auto& count : reply->reach.reach.counts) {
-    if (count.release >= request.reach.release && count.nodes > 0) {
-      result.in_force += static_cast<std::size_t>(count.nodes);
-    }
+  return ToZoneReach(zone, *reply, static_cast<std::int64_t>(release.value));
+}
+
+std::optional<wire::ReachReply> MembershipHost::QueryReach(
+    const NodeId& node,
+    ReleaseNumber release,
+    bool redirected) {
+  wire::ReachQuery query;
+  query.release = static_cast<std::int64_t>(release.value);
+  query.redirected = redirected;
+  if (node == this->self) {
+    return this->machine.OnReachQuery(query, Now());
   }
-  for (const auto& laggard : reply->reach.reach.laggards) {
-    if (result.laggards.size() < kMaxLaggards &&
-        laggard.release < request.reach.release && laggard.release >= 0) {
-      result.laggards.push_back(
-          {{laggard.node},
-           {static_cast<std::uint64_t>(laggard.release)},
-           static_cast<LagReason>(std::clamp(laggard.reason, 0, 2))});
-    }
+  wire::MembershipRequest request;
+  request.fleet = this->fleet;
+  request.__set_reach(query);
+  std::string bytes = Encode(request);
+  this->CountSent(MembershipPurpose::kReach, bytes.size());
+  const auto reply = this->peers.Request(node, Channel::kReach,
+                                         std::move(bytes), kReachTimeout);
+  if (!reply) {
+    return std::nullopt;
   }
-  return result;
+  this->CountReceived(MembershipPurpose::kReach, reply->size());
+  const auto decoded = Decode<wire::MembershipReply>(*reply);
+  if (!decoded || !decoded->__isset.reach) {
+    ++this->traffic.malformed;
+    return std::nullopt;
+  }
+  return decoded->reach;
 }
 
 // Counters ------------------------------------------------------------------
--- a/src/node/membership_host.h
+++ b/src/node/membership_host.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -86,9 +87,10 @@
   void ReportChange(Instant now);
   void CountSent(MembershipPurpose purpose, std::size_t bytes);
   void CountReceived(MembershipPurpose purpose, std::size_t bytes);
-  ZoneReach AskZone(const Zone& zone,
-                    const NodeId& summarizer,
-                    ReleaseNumber release);
+  ZoneReach AskZone(const ZoneSummarizer& zone, ReleaseNumber release);
+  std::optional<wire::ReachReply> QueryReach(const NodeId& node,
+                                             ReleaseNumber release,
+                                             bool redirected);
 
   IoLoop& loop;
   PeerPort& peers;
