--- a/tests/membership/fleet.h
+++ b/tests/membership/fleet.h
@@ -90,6 +90,21 @@
              [this, i, life = place.life] { this->RunTick(i, life); });
   }
 
+  // Splits the fleet: messages pass only between nodes of one group.
+  void Cut(std::vector<int> groups) {
+    this->faults.connected = [groups = std::move(groups)](std::size_t from,
+                                                          std::size_t to) {
+      return groups[from] == groups[to];
+    };
+  }
+
+  void EndFaults() {
+    this->faults = Faults{};
+    for (Place& place : this->places) {
+      place.paused = false;
+    }
+  }
+
   void Crash(std::size_t i) {
     ++this->places[i].life;
     this->places[i].machine.reset();
@@ -102,11 +117,12 @@
 
   void Leave(std::size_t i) { this->Perform(i, this->at(i).Leave(this->time)); }
 
+  // Slots count a node's announcements, so that views can be put in order.
   void Announce(std::size_t i, EndpointState state) {
     Endpoint endpoint;
     endpoint.node = this->IdOf(i);
     endpoint.service = {"catalogue"};
-    endpoint.slots = 13;
+    endpoint.slots = ++this->places[i].announcements;
     endpoint.state = state;
     endpoint.since = this->time;
     this->at(i).Announce(endpoint, this->time);
@@ -174,11 +190,13 @@
       }
       ++right;
       const auto own = this->at(of).Self();
-      const auto state_of = [](const Member& each) {
-        return each.endpoint ? static_cast<int>(each.endpoint->state) : -1;
+      const auto word_of = [](const Member& each) {
+        return each.endpoint ? std::pair(each.endpoint->slots,
+                                         static_cast<int>(each.endpoint->state))
+                             : std::pair(-1, -1);
       };
       if (own.incarnation != member.incarnation ||
-          state_of(own) != state_of(member)) {
+          word_of(own) != word_of(member)) {
         return false;
       }
     }
@@ -217,6 +235,7 @@
   struct Place {
     std::unique_ptr<Membership> machine;
     std::uint64_t life = 0;
+    int announcements = 0;
     bool paused = false;
   };
 
