--- a/include/tanagerledge/membership.h
+++ b/include/tanagerledge/membership.h
@@ -45,7 +45,7 @@
   std::chrono::milliseconds suspicion{4000};  // To refute before death.
   std::chrono::milliseconds sync_interval{20000};
   std::chrono::milliseconds tombstone_life{600000};
-  std::size_t gossip_bytes_per_second = 2500;
+  std::size_t gossip_bytes_per_second = 2000;
 };
 
 inline constexpr std::size_t kMaxDatagramBytes = 1400;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -495,8 +495,8 @@
     }
     auto message = this->NewMessage(wire::DatagramKind::GOSSIP);
     const NodeId to = this->table.at(*slot).node;
-    this->FillRumors(message, to, kMaxDatagramBytes - kDatagramOverheadBytes,
-                     now);
+    // In debt only urgent news goes, or a flood would starve it.
+    this->FillRumors(message, to, this->PiggybackBudget(), now);
     if (message.updates.empty()) {
       return;
     }
