--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -106,6 +106,9 @@
     error_code ignored;
     this->acceptor->close(ignored);
   }
+}
+
+void HttpServer::CloseIdle() {
   for (const auto& connection : this->connections) {
     if (connection->idle) {
       connection->Close();
@@ -132,9 +135,6 @@
 // One request and its answer; false when the connection is to end.
 bool HttpServer::ServeOne(Connection& connection) {
   connection.idle = true;
-  if (this->draining) {
-    return false;
-  }
   http::request_parser<http::string_body> parser;
   parser.body_limit(this->limits.max_body_bytes);
   parser.header_limit(this->limits.max_header_bytes);
@@ -159,8 +159,12 @@
   const unsigned version = parser.get().version();
   const bool keep_alive = parser.get().keep_alive();
   const HttpRequest request = FromBeast(parser.release());
+  std::optional<HttpResponse> answer = this->handler(request);
+  if (!answer) {
+    return false;
+  }
   BeastResponse response =
-      ToBeast(this->handler(request), version, keep_alive && !this->draining);
+      ToBeast(std::move(*answer), version, keep_alive && !this->draining);
   connection.stream.expires_after(this->limits.read_timeout);
   const auto written = Await<std::size_t>([&](auto done) {
     http::async_write(connection.stream, response, std::move(done));
