--- a/include/tanagerledge/membership.h
+++ b/include/tanagerledge/membership.h
@@ -17,6 +17,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -44,7 +45,7 @@
   std::chrono::milliseconds suspicion{4000};  // To refute before death.
   std::chrono::milliseconds sync_interval{20000};
   std::chrono::milliseconds tombstone_life{600000};
-  std::size_t gossip_bytes_per_second = 2500;
+  std::size_t gossip_bytes_per_second = 2000;
 };
 
 inline constexpr std::size_t kMaxDatagramBytes = 1400;
@@ -70,6 +71,13 @@
 using MembershipAction = std::variant<SendDatagram, SendSync>;
 using MembershipActions = std::vector<MembershipAction>;
 
+// The node to ask how far a release has spread in a zone.
+struct ZoneSummarizer {
+  Zone zone;
+  NodeId node;
+  std::size_t members = 0;  // Live ones of the zone, as known here.
+};
+
 // Machine -------------------------------------------------------------------
 
 class Membership {
@@ -106,6 +114,8 @@
 
   // Every member with this node, the dead until their tombstones end.
   std::vector<Member> Members(Instant now) const;
+  // One member, if known.
+  std::optional<Member> Find(const NodeId& node, Instant now) const;
   // This node as it tells others.
   Member Self() const;
   // True once after something that Members shows has changed.
@@ -117,8 +127,8 @@
 
   // Reach ------------------------------------------------------------------
 
-  // Who sums up each zone: to be asked with a ReachQuery.
-  std::vector<std::pair<Zone, NodeId>> ZoneSummarizers() const;
+  // Who sums up each zone: to be asked with a ReachQuery. By zone.
+  std::vector<ZoneSummarizer> ZoneSummarizers() const;
   wire::ReachReply OnReachQuery(const wire::ReachQuery& query, Instant now);
 
  private:
--- a/tests/membership/fleet.h
+++ b/tests/membership/fleet.h
@@ -52,6 +52,9 @@
       this->places.emplace_back();
       this->Start(i);
     }
+    if (settings.warm) {
+      this->Acquaint();
+    }
   }
 
   // Nodes ------------------------------------------------------------------
@@ -90,6 +93,21 @@
              [this, i, life = place.life] { this->RunTick(i, life); });
   }
 
+  // Splits the fleet: messages pass only between nodes of one group.
+  void Cut(std::vector<int> groups) {
+    this->faults.connected = [groups = std::move(groups)](std::size_t from,
+                                                          std::size_t to) {
+      return groups[from] == groups[to];
+    };
+  }
+
+  void EndFaults() {
+    this->faults = Faults{};
+    for (Place& place : this->places) {
+      place.paused = false;
+    }
+  }
+
   void Crash(std::size_t i) {
     ++this->places[i].life;
     this->places[i].machine.reset();
@@ -102,11 +120,12 @@
 
   void Leave(std::size_t i) { this->Perform(i, this->at(i).Leave(this->time)); }
 
+  // Slots count a node's announcements, so that views can be put in order.
   void Announce(std::size_t i, EndpointState state) {
     Endpoint endpoint;
     endpoint.node = this->IdOf(i);
     endpoint.service = {"catalogue"};
-    endpoint.slots = 13;
+    endpoint.slots = ++this->places[i].announcements;
     endpoint.state = state;
     endpoint.since = this->time;
     this->at(i).Announce(endpoint, this->time);
@@ -143,10 +162,7 @@
 
   // What node `i` holds of node `of`, if anything.
   std::optional<Member> View(std::size_t i, std::size_t of) {
-    const auto members = this->at(i).Members(this->time);
-    const auto found =
-        std::ranges::find(members, this->IdOf(of), &Member::node);
-    return found == members.end() ? std::nullopt : std::optional(*found);
+    return this->at(i).Find(this->IdOf(of), this->time);
   }
 
   // Every live node lists exactly the live nodes as alive, with equal words.
@@ -164,7 +180,9 @@
     for (const Member& member : this->at(i).Members(this->time)) {
       const std::size_t of = this->IndexOf(member.node);
       const bool alive = member.state == MemberState::kAlive;
-      if (of == this->size() || alive != this->up(of)) {
+      const bool gone = member.state == MemberState::kDead ||
+                        member.state == MemberState::kLeft;
+      if (of == this->size() || (this->up(of) ? !alive : !gone)) {
         return false;
       }
       if (!alive) {
@@ -172,11 +190,13 @@
       }
       ++right;
       const auto own = this->at(of).Self();
-      const auto state_of = [](const Member& each) {
-        return each.endpoint ? static_cast<int>(each.endpoint->state) : -1;
+      const auto word_of = [](const Member& each) {
+        return each.endpoint ? std::pair(each.endpoint->slots,
+                                         static_cast<int>(each.endpoint->state))
+                             : std::pair(-1, -1);
       };
       if (own.incarnation != member.incarnation ||
-          state_of(own) != state_of(member)) {
+          word_of(own) != word_of(member)) {
         return false;
       }
     }
@@ -211,10 +231,20 @@
   std::array<Traffic, kMembershipPurposeCount> traffic;
   std::size_t largest_datagram = 0;
 
+  Traffic TotalTraffic() const {
+    Traffic total;
+    for (const Traffic& each : this->traffic) {
+      total.messages += each.messages;
+      total.bytes += each.bytes;
+    }
+    return total;
+  }
+
  private:
   struct Place {
     std::unique_ptr<Membership> machine;
     std::uint64_t life = 0;
+    int announcements = 0;
     bool paused = false;
   };
 
@@ -228,6 +258,31 @@
     }
   };
 
+  wire::MemberUpdate FirstWord(std::size_t i) {
+    wire::MemberUpdate update;
+    const Member self = this->at(i).Self();
+    update.node = self.node.value;
+    update.incarnation = static_cast<std::int64_t>(self.incarnation.value);
+    update.__set_zone(self.zone.value);
+    update.__set_version(0);
+    return update;
+  }
+
+  void Acquaint() {
+    wire::SyncReply reply;
+    for (std::size_t i = 0; i < this->size(); ++i) {
+      reply.updates.push_back(this->FirstWord(i));
+    }
+    const auto all = reply.updates;
+    for (std::size_t i = 0; i < this->size(); ++i) {
+      // Each hears its own word back until it tells it no more.
+      constexpr std::size_t kEnough = 2 * 17;
+      reply.updates = all;
+      reply.updates.insert(reply.updates.end(), kEnough, all[i]);
+      this->at(i).OnSyncReply({}, reply, this->time);
+    }
+  }
+
   std::uint64_t elapsed_ms() const {
     return static_cast<std::uint64_t>(
         std::chrono::duration_cast<Milliseconds>(this->time.time_since_epoch())
