--- a/src/distribution/distribution.cc
+++ b/src/distribution/distribution.cc
@@ -18,7 +18,7 @@
 constexpr std::size_t kOwnZoneFloorAttempts = 4;
 constexpr std::uint64_t kSummariesPerFarOne = 8;
 constexpr std::uint64_t kSeeksPerFarOne = 4;
-constexpr std::chrono::milliseconds kEmptyReadPause{50};
+constexpr std::chrono::milliseconds kEmptyReadPause{250};
 constexpr std::chrono::milliseconds kEndBackoffMax{2000};
 constexpr std::chrono::milliseconds kRetryAfter{250};
 constexpr std::chrono::milliseconds kRetryAfterMax{5000};
