--- a/src/execution/key_index.cc
+++ b/src/execution/key_index.cc
@@ -22,6 +22,12 @@
   return {this->processes[entry.process], entry.number};
 }
 
+OnceResult KeyIndex::ResultOf(const Entry& entry) {
+  return {static_cast<Outcome>(entry.outcome),
+          static_cast<Reason>(entry.reason),
+          entry.reply ? *entry.reply : std::string(), entry.reply_dropped};
+}
+
 bool KeyIndex::Open(const OnceKeyId& key,
                     const OnceAttempt& attempt,
                     Fingerprint fingerprint,
@@ -68,8 +74,10 @@
   }
   entry.state = KeyState::kEnded;
   this->Store(entry, result);
-  this->replies.push_back(key);
-  this->DropOldReplies();
+  if (entry.reply) {
+    this->replies.push_back(key);
+    this->DropOldReplies();
+  }
   return true;
 }
 
@@ -121,23 +129,24 @@
 }
 
 void KeyIndex::Store(Entry& entry, const OnceResult& result) {
-  entry.result = std::make_unique<OnceResult>(result);
-  if (entry.result->reply.size() > kMaxKeptReplyBytes) {
-    entry.result->reply.clear();
-    entry.result->reply_dropped = true;
+  entry.outcome = static_cast<std::uint8_t>(result.outcome);
+  entry.reason = static_cast<std::uint8_t>(result.reason);
+  entry.reply_dropped =
+      result.reply_dropped || result.reply.size() > kMaxKeptReplyBytes;
+  if (!result.reply.empty() && !entry.reply_dropped) {
+    entry.reply = std::make_unique<std::string>(result.reply);
+    this->kept_reply_bytes += entry.reply->size();
   }
-  this->kept_reply_bytes += entry.result->reply.size();
 }
 
 void KeyIndex::DropOldReplies() {
   while (this->kept_reply_bytes > kMostReplyBytes && !this->replies.empty()) {
     const auto found = this->entries.find(this->replies.front());
     this->replies.pop_front();
-    if (found != this->entries.end() && found->second.result) {
-      OnceResult& result = *found->second.result;
-      this->kept_reply_bytes -= result.reply.size();
-      result.reply = {};
-      result.reply_dropped = true;
+    if (found != this->entries.end() && found->second.reply) {
+      this->kept_reply_bytes -= found->second.reply->size();
+      found->second.reply.reset();
+      found->second.reply_dropped = true;
     }
   }
 }
@@ -147,8 +156,8 @@
   if (found == this->entries.end()) {
     return;
   }
-  if (found->second.result) {
-    this->kept_reply_bytes -= found->second.result->reply.size();
+  if (found->second.reply) {
+    this->kept_reply_bytes -= found->second.reply->size();
   }
   this->entries.erase(found);
 }
--- a/src/execution/key_index.h
+++ b/src/execution/key_index.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -26,18 +27,22 @@
  public:
   struct Entry {
     KeyState state = KeyState::kGranted;
-    bool is_logged = false;     // Its outcome stands on the log.
+    bool is_logged = false;  // Its outcome stands on the log.
+    bool reply_dropped = false;
+    std::uint8_t outcome = 0;  // Values of Outcome and Reason, once ended.
+    std::uint8_t reason = 0;
     std::uint32_t process = 0;  // Place in `processes`.
     std::uint64_t number = 0;
     Fingerprint fingerprint;
     WallTime stamp{};  // When it was admitted, by its owner's clock.
-    std::unique_ptr<OnceResult> result;
+    std::unique_ptr<std::string> reply;  // Null when empty.
   };
 
   explicit KeyIndex(std::chrono::seconds window);
 
   const Entry* Find(const OnceKeyId& key) const;
   OnceAttempt AttemptOf(const Entry& entry) const;
+  static OnceResult ResultOf(const Entry& entry);
 
   // The first attempt keeps the key; false when another has it.
   bool Open(const OnceKeyId& key,
--- a/src/execution/once_partition.cc
+++ b/src/execution/once_partition.cc
@@ -242,7 +242,8 @@
   if (!is_own && entry.fingerprint != waiter.fingerprint) {
     this->Answer(waiter, ClaimAnswer::kMismatch);
   } else if (entry.state == KeyState::kEnded) {
-    this->Answer(waiter, ClaimAnswer::kStored, entry.result.get());
+    const OnceResult result = KeyIndex::ResultOf(entry);
+    this->Answer(waiter, ClaimAnswer::kStored, &result);
   } else if (is_own && entry.state == KeyState::kGranted) {
     this->Answer(waiter, ClaimAnswer::kGranted);
   } else {
--- a/tests/execution/once_test.cc
+++ b/tests/execution/once_test.cc
@@ -124,6 +124,30 @@
   EXPECT_TRUE(this->IsServed(this->Call()));
 }
 
+// Owner and deputy are parted from all others and from the log: they may go on
+// for the limit, and no key may be served on both sides after it.
+TEST_F(OnceTest, PartedLongerThanTheLimit_OnlyOneSideServes) {
+  const std::size_t owner = this->world.Owner();
+  const std::size_t deputy = this->world.Deputy();
+  for (const std::size_t node : {owner, deputy}) {
+    this->world.SetIsland(node, 1);
+    this->world.SetSeesLog(node, false);
+  }
+  const std::size_t early = this->world.NewCall();
+  this->world.Send(early, owner);
+  this->world.RunFor(seconds(2));
+  EXPECT_TRUE(this->IsServed(early));
+  this->world.RunFor(seconds(20));
+  for (int i = 0; i < 10; ++i) {
+    const std::size_t call = this->world.NewCall();
+    for (std::size_t node = 0; node < this->world.size(); ++node) {
+      this->world.Send(call, node);
+    }
+    this->world.RunFor(seconds(2));
+    EXPECT_TRUE(this->IsServed(call));
+  }
+}
+
 TEST_F(OnceTest, RecordsExpired_NewcomersStillTakePart) {
   this->Call();
   this->world.RunFor(seconds(70));
--- a/tests/execution/retry_test.cc
+++ b/tests/execution/retry_test.cc
@@ -9,6 +9,8 @@
 #include <variant>
 #include <vector>
 
+#include "tests/execution/retry_chain.h"
+
 namespace tanagerledge {
 namespace {
 
@@ -104,67 +106,23 @@
 
 // Chain ---------------------------------------------------------------------
 
-// A chain of services in which the last one always refuses. Each hop passes
-// the refusal on, with or without the marks that stop retries further up.
 class RetryChainTest : public testing::Test {
  protected:
-  struct Marks {
-    bool up = false;    // Replies tell that a hop further down judged.
-    bool down = false;  // Requests tell that a hop further up retries.
-  };
-
   static constexpr int kHops = 27;
   static constexpr int kCalls = 2000;
-
-  // Attempts that reach the last back end, for each call from outside.
-  double AttemptsPerCall(Marks chain_marks) {
-    this->marks = chain_marks;
-    this->budgets = std::vector<RetryBudget>(kHops);
-    this->last_attempts = 0;
-    for (int call = 0; call < kCalls; ++call) {
-      this->Call(0, false);
-    }
-    return static_cast<double>(this->last_attempts) / kCalls;
-  }
-
- private:
-  // Whether a hop has judged the failure that comes back.
-  bool Call(int depth, bool within_retry) {
-    if (depth == kHops) {
-      ++this->last_attempts;
-      return false;
-    }
-    RetryBudget& budget = this->budgets[static_cast<std::size_t>(depth)];
-    FinishedAttempt attempt;
-    attempt.outcome = Outcome::kNotRun;
-    attempt.reason = Reason::kBackEndRefused;
-    attempt.remaining = milliseconds(100);
-    attempt.within_retry = within_retry && this->marks.down;
-    budget.OnFirstAttempt(depth);
-    attempt.judged_deeper =
-        this->Call(depth + 1, within_retry) && this->marks.up;
-    while (
-        std::holds_alternative<RetryElsewhere>(DecideRetry(attempt, budget))) {
-      ++attempt.attempts;
-      attempt.judged_deeper = this->Call(depth + 1, true) && this->marks.up;
-    }
-    return true;
-  }
-
-  Marks marks;
-  std::vector<RetryBudget> budgets;
-  long last_attempts = 0;
 };
 
 // 1.1 is the budget itself; the rest is what the budgets had saved at first.
 TEST_F(RetryChainTest, MarksTravelUp_TotalStaysWithinOneBudget) {
   const double saved = 10.0 * kHops / kCalls;
-  EXPECT_LE(this->AttemptsPerCall({true, true}), 1.1 + saved);
+  RetryChain chain(kHops, {true, true});
+  EXPECT_LE(chain.AttemptsPerCall(kCalls), 1.1 + saved);
 }
 
 // The stated factor for back ends that pass on no mark, only the depth.
 TEST_F(RetryChainTest, NoMarkTravels_TotalStaysWithinTwice) {
-  EXPECT_LE(this->AttemptsPerCall({false, false}), 2.0);
+  RetryChain chain(kHops, {false, false});
+  EXPECT_LE(chain.AttemptsPerCall(kCalls), 2.0);
 }
 
 }  // namespace
