At most once: a proposal stands while any copy of it may

Cause: schedule 5151, a second run: a slow append carried an owner's proposal, a repeat of it was answered as not written, the owner forgot the proposal and went off the log by a promise of the epoch that the first copy then ended. Change: once repeated, a proposal ends only by being read back or overtaken. Conclusion: kept as a seed and as a test of the machine, which fails without it.

--- a/src/execution/once_partition.cc
+++ b/src/execution/once_partition.cc
@@ -589,6 +589,8 @@
   if (this->proposal) {
     if (time.now >= this->proposal->sent + kProposalRepeat) {
       this->proposal->sent = time.now;
+      // The copy before may still be on its way, whatever becomes of this one.
+      this->proposal->may_stand = true;
       this->actions.push_back(
           AppendOnce{this->proposal->record, this->proposal->mark});
     }
--- a/tests/execution/once_test.cc
+++ b/tests/execution/once_test.cc
@@ -273,6 +273,28 @@
   EXPECT_EQ(entry->number, 16u);
 }
 
+TEST_F(OncePartitionTest, RepeatOfAProposalNotWritten_FirstCopyMayStillStand) {
+  OncePartition fresh(0, {{"a:1"}, 1}, {});
+  fresh.SetCandidates({{"a:1"}}, {{"a:1"}});
+  std::vector<std::int64_t> marks;
+  for (int i = 0; i < 60; ++i) {
+    this->time.now += milliseconds(50);
+    fresh.OnRecords({}, true, this->time);
+    fresh.OnTick(this->time);
+    for (const OnceAction& action : fresh.TakeActions()) {
+      if (const auto* append = std::get_if<AppendOnce>(&action)) {
+        marks.push_back(append->proposal);
+      }
+    }
+    // The first copy has no answer yet; the second is known not to be written.
+    if (marks.size() == 2) {
+      fresh.OnAppendEnded(marks.back(), AppendEnd::kNothingWritten);
+    }
+  }
+  ASSERT_GE(marks.size(), 3u);
+  EXPECT_EQ(marks.front(), marks.back());
+}
+
 TEST_F(OncePartitionTest, NotRunLogged_KeyIsOpenAgain) {
   this->Claim(16);
   this->FinishNotRun(16);
@@ -422,9 +444,12 @@
 }
 
 // Seeds that once failed. 1045: a second run, after an owner that lost its seat
-// had opened a key again whose `not-run` was not on the log.
+// had opened a key again whose `not-run` was not on the log. 5151: a second
+// run, after an owner took its proposal for not written because a repeat of it
+// was not, and went off the log while the first copy was still on its way.
 TEST_F(OnceScheduleTest, SeedsThatFailed_StayMended) {
   RunSeeds(1045, 1);
+  RunSeeds(5151, 1);
 }
 
 }  // namespace
