--- a/tests/execution/once_test.cc
+++ b/tests/execution/once_test.cc
@@ -124,6 +124,30 @@
   EXPECT_TRUE(this->IsServed(this->Call()));
 }
 
+// Owner and deputy are parted from all others and from the log: they may go on
+// for the limit, and no key may be served on both sides after it.
+TEST_F(OnceTest, PartedLongerThanTheLimit_OnlyOneSideServes) {
+  const std::size_t owner = this->world.Owner();
+  const std::size_t deputy = this->world.Deputy();
+  for (const std::size_t node : {owner, deputy}) {
+    this->world.SetIsland(node, 1);
+    this->world.SetSeesLog(node, false);
+  }
+  const std::size_t early = this->world.NewCall();
+  this->world.Send(early, owner);
+  this->world.RunFor(seconds(2));
+  EXPECT_TRUE(this->IsServed(early));
+  this->world.RunFor(seconds(20));
+  for (int i = 0; i < 10; ++i) {
+    const std::size_t call = this->world.NewCall();
+    for (std::size_t node = 0; node < this->world.size(); ++node) {
+      this->world.Send(call, node);
+    }
+    this->world.RunFor(seconds(2));
+    EXPECT_TRUE(this->IsServed(call));
+  }
+}
+
 TEST_F(OnceTest, RecordsExpired_NewcomersStillTakePart) {
   this->Call();
   this->world.RunFor(seconds(70));
@@ -249,6 +273,28 @@
   EXPECT_EQ(entry->number, 16u);
 }
 
+TEST_F(OncePartitionTest, RepeatOfAProposalNotWritten_FirstCopyMayStillStand) {
+  OncePartition fresh(0, {{"a:1"}, 1}, {});
+  fresh.SetCandidates({{"a:1"}}, {{"a:1"}});
+  std::vector<std::int64_t> marks;
+  for (int i = 0; i < 60; ++i) {
+    this->time.now += milliseconds(50);
+    fresh.OnRecords({}, true, this->time);
+    fresh.OnTick(this->time);
+    for (const OnceAction& action : fresh.TakeActions()) {
+      if (const auto* append = std::get_if<AppendOnce>(&action)) {
+        marks.push_back(append->proposal);
+      }
+    }
+    // The first copy has no answer yet; the second is known not to be written.
+    if (marks.size() == 2) {
+      fresh.OnAppendEnded(marks.back(), AppendEnd::kNothingWritten);
+    }
+  }
+  ASSERT_GE(marks.size(), 3u);
+  EXPECT_EQ(marks.front(), marks.back());
+}
+
 TEST_F(OncePartitionTest, NotRunLogged_KeyIsOpenAgain) {
   this->Claim(16);
   this->FinishNotRun(16);
@@ -398,9 +444,12 @@
 }
 
 // Seeds that once failed. 1045: a second run, after an owner that lost its seat
-// had opened a key again whose `not-run` was not on the log.
+// had opened a key again whose `not-run` was not on the log. 5151: a second
+// run, after an owner took its proposal for not written because a repeat of it
+// was not, and went off the log while the first copy was still on its way.
 TEST_F(OnceScheduleTest, SeedsThatFailed_StayMended) {
   RunSeeds(1045, 1);
+  RunSeeds(5151, 1);
 }
 
 }  // namespace
