Crash suspects: deaths at several nodes add up; a node without back end counts as unreachable

Deaths of a fingerprint were merged by maximum, so two nodes that lost their back ends at the same moment counted one death. A reply that the node has no back end counts as unreachable for the choice, since word of it spreads more slowly.

--- a/benchmarks/execution_benchmark.cc
+++ b/benchmarks/execution_benchmark.cc
@@ -182,7 +182,8 @@
     for (std::uint64_t i = 0; i < kInnocent; ++i) {
       running.push_back({++next});
     }
-    const std::vector<Suspicion> news = table.OnBackEndDied(running, now);
+    const std::vector<Suspicion> news =
+        table.OnBackEndDied({std::to_string(attempt % kNodes)}, running, now);
     held += kInnocent;
     for (SuspectTable& peer : tables) {
       for (const Suspicion& suspicion : news) {
--- a/idl/execution.thrift
+++ b/idl/execution.thrift
@@ -25,6 +25,8 @@
   2: i32 deaths
   /** The call ran alone and its back end lived. */
   3: bool cleared
+  /** The node beside the back ends that died. */
+  4: string node
 }
 
 struct SuspectTell {
--- a/include/tanagerledge/suspects.h
+++ b/include/tanagerledge/suspects.h
@@ -40,8 +40,11 @@
 // What one node learned of a fingerprint, for the others.
 struct Suspicion {
   Fingerprint fingerprint;
-  int deaths = 0;        // Back ends that died while they ran it.
+  // Back ends that died while they ran it: those at `node`, or, with `cleared`,
+  // all that the node knew of.
+  int deaths = 0;
   bool cleared = false;  // It ran under a lease and the back end lived.
+  NodeId node;           // Beside the back ends that died.
 
   bool operator==(const Suspicion&) const = default;
 };
@@ -67,9 +70,10 @@
   // How a call with this fingerprint is to be treated now.
   Standing Look(Fingerprint fingerprint, Instant now) const;
 
-  // The back end beside this node died while it ran these calls. The news are
-  // for every node that may run them.
-  std::vector<Suspicion> OnBackEndDied(const std::vector<Fingerprint>& running,
+  // The back end beside `self`, this node, died while it ran these calls. The
+  // news are for every node that may run them.
+  std::vector<Suspicion> OnBackEndDied(const NodeId& self,
+                                       const std::vector<Fingerprint>& running,
                                        Instant now);
 
   // A suspect ran under a lease and its back end lives.
@@ -99,8 +103,17 @@
     Instant until{};
   };
 
+  // Counted by node, so that deaths at two nodes at once add up.
+  struct DeathsAt {
+    NodeId node;
+    int count = 0;
+  };
+
   struct Entry {
-    int deaths = 0;
+    std::vector<DeathsAt> deaths_at;  // At most `most_deaths` nodes.
+    int Deaths() const;
+    int& At(const NodeId& node);
+
     Instant expires{};
     std::optional<Lease> lease;
   };
--- a/src/execution/suspects.cc
+++ b/src/execution/suspects.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <numeric>
 
 namespace tanagerledge {
 namespace {
@@ -33,7 +34,7 @@
   if (found == this->entries.end() || found->second.expires <= now) {
     return Standing::kClear;
   }
-  return found->second.deaths >= this->config.most_deaths
+  return found->second.Deaths() >= this->config.most_deaths
              ? Standing::kQuarantined
              : Standing::kSuspect;
 }
@@ -69,6 +70,7 @@
 // Events --------------------------------------------------------------------
 
 std::vector<Suspicion> SuspectTable::OnBackEndDied(
+    const NodeId& self,
     const std::vector<Fingerprint>& running,
     Instant now) {
   std::vector<Fingerprint> distinct = running;
@@ -77,10 +79,11 @@
   std::vector<Suspicion> news;
   for (const Fingerprint fingerprint : distinct) {
     Entry& entry = this->Touch(fingerprint, now);
-    entry.deaths += 1;
+    int& deaths = entry.At(self);
+    ++deaths;
     entry.lease.reset();
     entry.expires = now + this->LifeOf(entry);
-    news.push_back({fingerprint, entry.deaths, false});
+    news.push_back({fingerprint, deaths, false, self});
   }
   this->EndHere();
   return news;
@@ -90,10 +93,10 @@
                                                    Instant now) {
   const auto found = this->entries.find(fingerprint);
   if (found == this->entries.end() ||
-      found->second.deaths >= this->config.most_deaths) {
+      found->second.Deaths() >= this->config.most_deaths) {
     return std::nullopt;
   }
-  const Suspicion news{fingerprint, found->second.deaths, true};
+  const Suspicion news{fingerprint, found->second.Deaths(), true, {}};
   this->OnNews(news, now);
   return news;
 }
@@ -105,15 +108,18 @@
     return;
   }
   Entry& entry = this->Touch(news.fingerprint, now);
-  entry.deaths = std::max(entry.deaths, deaths);
+  if (entry.Deaths() < this->config.most_deaths) {
+    int& known = entry.At(news.node);
+    known = std::max(known, deaths);
+  }
   entry.expires = std::max(entry.expires, now + this->LifeOf(entry));
 }
 
 // Whoever cleared a call judged only the deaths it knew of.
 void SuspectTable::Clear(Fingerprint fingerprint, int deaths) {
   const auto found = this->entries.find(fingerprint);
-  if (found != this->entries.end() && found->second.deaths <= deaths &&
-      found->second.deaths < this->config.most_deaths) {
+  if (found != this->entries.end() && found->second.Deaths() <= deaths &&
+      found->second.Deaths() < this->config.most_deaths) {
     this->entries.erase(found);
   }
 }
@@ -123,11 +129,25 @@
                 [now](const auto& item) { return item.second.expires <= now; });
 }
 
+int SuspectTable::Entry::Deaths() const {
+  return std::accumulate(
+      this->deaths_at.begin(), this->deaths_at.end(), 0,
+      [](int sum, const DeathsAt& at) { return sum + at.count; });
+}
+
+int& SuspectTable::Entry::At(const NodeId& node) {
+  const auto found = std::ranges::find(this->deaths_at, node, &DeathsAt::node);
+  return found != this->deaths_at.end()
+             ? found->count
+             : this->deaths_at.emplace_back(DeathsAt{node, 0}).count;
+}
+
 // Entries -------------------------------------------------------------------
 
 std::chrono::seconds SuspectTable::LifeOf(const Entry& entry) const {
-  return entry.deaths >= this->config.most_deaths ? this->config.quarantine_life
-                                                  : this->config.suspect_life;
+  return entry.Deaths() >= this->config.most_deaths
+             ? this->config.quarantine_life
+             : this->config.suspect_life;
 }
 
 SuspectTable::Entry& SuspectTable::Touch(Fingerprint fingerprint, Instant now) {
--- a/src/node/entry.cc
+++ b/src/node/entry.cc
@@ -216,7 +216,10 @@
   this->chooser.OnStart(node);
   wire::CallReply reply = this->Ask(worker, call, node);
   const Instant end = Now();
-  const bool answered = ReasonOf(reply) != Reason::kPeerUnreachable;
+  // A node whose back end is gone is as good as unreachable: word of it spreads
+  // more slowly than calls come.
+  const bool answered = ReasonOf(reply) != Reason::kPeerUnreachable &&
+                        ReasonOf(reply) != Reason::kNoEndpoint;
   if (answered) {
     this->chooser.OnReply(node, call.rank, call.customer, FinishKindOf(reply),
                           FromWire(reply.load),
--- a/src/node/suspect_host.cc
+++ b/src/node/suspect_host.cc
@@ -40,13 +40,15 @@
   news.fingerprint = static_cast<std::int64_t>(suspicion.fingerprint.value);
   news.deaths = suspicion.deaths;
   news.cleared = suspicion.cleared;
+  news.node = suspicion.node.value;
   return news;
 }
 
 Suspicion ToSuspicion(const wire::SuspectNews& news) {
   return {{static_cast<std::uint64_t>(news.fingerprint)},
           news.deaths,
-          news.cleared};
+          news.cleared,
+          {news.node}};
 }
 
 // Runs `work` on the loop and suspends the calling fiber until it is done.
@@ -153,7 +155,7 @@
   std::vector<Suspicion> news;
   {
     const std::scoped_lock lock(this->mutex);
-    news = this->table.OnBackEndDied(running, Now());
+    news = this->table.OnBackEndDied(this->self, running, Now());
     this->NoteSize();
   }
   RunOn<bool>(this->control, [this, news = std::move(news)] {
@@ -205,7 +207,8 @@
   const std::scoped_lock lock(this->mutex);
   this->table.EndHere();
   if (answer == LeaseAnswer::kRefused) {
-    this->table.OnNews({fingerprint, kQuarantineDeaths, false}, Now());
+    this->table.OnNews({fingerprint, kQuarantineDeaths, false, this->self},
+                       Now());
   }
   return false;
 }
--- a/tests/execution/suspects_test.cc
+++ b/tests/execution/suspects_test.cc
@@ -20,6 +20,7 @@
  protected:
   SuspectTable table;
   Instant now{};
+  const NodeId self{"self"};
   const Fingerprint bad{1};
   const Fingerprint other{2};
 };
@@ -32,9 +33,9 @@
 }
 
 TEST_F(SuspectsTest, SecondDeath_IsQuarantinedThenForgotten) {
-  this->table.OnBackEndDied({this->bad, this->bad}, this->now);
+  this->table.OnBackEndDied(this->self, {this->bad, this->bad}, this->now);
   EXPECT_EQ(this->table.Look(this->bad, this->now), Standing::kSuspect);
-  this->table.OnBackEndDied({this->bad}, this->now);
+  this->table.OnBackEndDied(this->self, {this->bad}, this->now);
   EXPECT_EQ(this->table.Look(this->bad, this->now), Standing::kQuarantined);
   EXPECT_EQ(this->table.OnLeaseAsked(this->bad, {"a"}, seconds(1), this->now),
             LeaseAnswer::kRefused);
@@ -42,8 +43,22 @@
   EXPECT_EQ(this->table.Look(this->bad, this->now), Standing::kClear);
 }
 
+// Found by `./run prove`: two nodes lost their back ends before either had the
+// other's news, the counts merged to one, and a third back end died.
+TEST_F(SuspectsTest, DeathsAtTwoNodesAtOnce_AddUpToQuarantine) {
+  this->table.OnBackEndDied(this->self, {this->bad}, this->now);
+  this->table.OnNews({this->bad, 1, false, {"elsewhere"}}, this->now);
+  EXPECT_EQ(this->table.Look(this->bad, this->now), Standing::kQuarantined);
+}
+
+TEST_F(SuspectsTest, RepeatedNews_CountOnce) {
+  this->table.OnNews({this->bad, 1, false, {"elsewhere"}}, this->now);
+  this->table.OnNews({this->bad, 1, false, {"elsewhere"}}, this->now);
+  EXPECT_EQ(this->table.Look(this->bad, this->now), Standing::kSuspect);
+}
+
 TEST_F(SuspectsTest, LeaseHeld_SecondHolderWaitsUntilItEnds) {
-  this->table.OnBackEndDied({this->bad}, this->now);
+  this->table.OnBackEndDied(this->self, {this->bad}, this->now);
   EXPECT_EQ(this->table.OnLeaseAsked(this->bad, {"a"}, seconds(1), this->now),
             LeaseAnswer::kGranted);
   EXPECT_EQ(this->table.OnLeaseAsked(this->bad, {"b"}, seconds(1), this->now),
@@ -54,25 +69,26 @@
 }
 
 TEST_F(SuspectsTest, RanSafely_IsClearAndCountsAfresh) {
-  this->table.OnBackEndDied({this->other}, this->now);
+  this->table.OnBackEndDied(this->self, {this->other}, this->now);
   const auto news = this->table.OnRanSafely(this->other, this->now);
   ASSERT_TRUE(news.has_value());
   EXPECT_EQ(this->table.Look(this->other, this->now), Standing::kClear);
-  this->table.OnBackEndDied({this->other}, this->now);
+  this->table.OnBackEndDied(this->self, {this->other}, this->now);
   EXPECT_EQ(this->table.Look(this->other, this->now), Standing::kSuspect);
 }
 
 TEST_F(SuspectsTest, ClearedNewsAfterQuarantine_ChangeNothing) {
-  this->table.OnBackEndDied({this->bad}, this->now);
-  this->table.OnBackEndDied({this->bad}, this->now);
-  this->table.OnNews({this->bad, 1, true}, this->now);
-  this->table.OnNews({this->bad, 1000, true}, this->now);
+  this->table.OnBackEndDied(this->self, {this->bad}, this->now);
+  this->table.OnBackEndDied(this->self, {this->bad}, this->now);
+  this->table.OnNews({this->bad, 1, true, {}}, this->now);
+  this->table.OnNews({this->bad, 1000, true, {}}, this->now);
   EXPECT_EQ(this->table.Look(this->bad, this->now), Standing::kQuarantined);
 }
 
 TEST_F(SuspectsTest, MoreEntriesThanKept_SizeIsBounded) {
   for (std::uint64_t i = 0; i < 10000; ++i) {
-    this->table.OnNews({{i}, 1, false}, this->now + milliseconds(i));
+    this->table.OnNews({{i}, 1, false, this->self},
+                       this->now + milliseconds(i));
   }
   EXPECT_LE(this->table.size(), SuspectConfig().most_entries);
 }
@@ -101,7 +117,8 @@
       return false;
     }
     this->running[node].push_back(call);
-    this->Tell(table.OnBackEndDied(this->running[node], this->now));
+    this->Tell(table.OnBackEndDied({std::to_string(node)}, this->running[node],
+                                   this->now));
     this->running[node].clear();
     return true;
   }
