--- a/include/tanagerledge/admission.h
+++ b/include/tanagerledge/admission.h
@@ -87,6 +87,7 @@
   AdmissionActions OnTick(Instant now);
 
   // The back end leaves: refuses what waits and what comes; what runs ends.
+  // OnSlots(0) ends the drain, for a back end that then announces itself anew.
   AdmissionActions OnDrain(Instant now);
 
   LoadReport Report(Instant now) const;
--- a/src/routing/endpoint_chooser.cc
+++ b/src/routing/endpoint_chooser.cc
@@ -218,8 +218,8 @@
       evidence == nullptr ? nullptr : evidence->throttles.FindOrAdd(rank);
   if (throttle != nullptr) {
     const float spare = all_refuse ? kSpareWhenRefused : kSpare;
-    throttle->OnAsked(customer, now);
     if (Uniform(rng) < throttle->RefusalChance(customer, spare, now)) {
+      throttle->OnRefused(customer, now);
       return std::nullopt;
     }
   }
@@ -249,10 +249,14 @@
   evidence->OnReply(kind, load, latency, now);
   ServiceEvidence* const service =
       evidence->service.load(std::memory_order_relaxed);
-  if (service == nullptr || kind == FinishKind::kShed) {
+  RankThrottle* const throttle =
+      service == nullptr ? nullptr : service->throttles.FindOrAdd(rank);
+  if (throttle == nullptr) {
     return;
   }
-  if (RankThrottle* throttle = service->throttles.FindOrAdd(rank)) {
+  if (kind == FinishKind::kShed) {
+    throttle->OnRefused(customer, now);
+  } else {
     throttle->OnTakenIn(customer, now);
   }
 }
--- a/src/routing/endpoint_evidence.cc
+++ b/src/routing/endpoint_evidence.cc
@@ -31,10 +31,10 @@
 
 // RankThrottle --------------------------------------------------------------
 
-void RankThrottle::OnAsked(const Customer& customer, Instant now) {
+void RankThrottle::OnRefused(const Customer& customer, Instant now) {
   for (std::size_t row = 0; row < kRows; ++row) {
     Cell& cell = this->rows[row][ColumnOf(customer, row)];
-    cell.asked.Add(1, now, kThrottleHalfLife);
+    cell.refused.Add(1, now, kThrottleHalfLife);
   }
 }
 
@@ -53,8 +53,8 @@
   float least = 1;
   for (std::size_t row = 0; row < kRows; ++row) {
     const Cell& cell = this->rows[row][ColumnOf(customer, row)];
-    const float all = cell.asked.Towards(0, now, kThrottleHalfLife);
     const float in = cell.taken_in.Towards(0, now, kThrottleHalfLife);
+    const float all = in + cell.refused.Towards(0, now, kThrottleHalfLife);
     least = std::min(least, (all - spare * in - kFree) / (all + 1));
   }
   return std::max(0.0F, least);
@@ -113,7 +113,7 @@
 }
 
 int EndpointEvidence::in_flight() const {
-  return std::max(0, this->calls.load(std::memory_order_relaxed));
+  return this->calls.load(std::memory_order_relaxed);
 }
 
 float EndpointEvidence::FailureShare(Instant now) const {
@@ -139,7 +139,7 @@
 }
 
 float EndpointEvidence::Load(Instant now) const {
-  return static_cast<float>(this->in_flight()) +
+  return static_cast<float>(std::max(0, this->in_flight())) +
          this->others.Towards(0, now, kReportHalfLife);
 }
 
--- a/src/routing/endpoint_evidence.h
+++ b/src/routing/endpoint_evidence.h
@@ -17,16 +17,17 @@
 
 // Early refusal -------------------------------------------------------------
 
-// Calls of one rank to one service: how many were asked for and how many got
-// in. When few get in, most of the rest need not be sent.
+// Calls of one rank to one service: how many got in and how many were refused,
+// here or there. When few get in, most of the rest need not be sent. Calls that
+// are still under way count as neither, so that slow replies refuse nobody.
 //
 // Customers are told apart by two hashes into a small grid, so that any number
 // of them fits: one that floods spoils its own cells, and another is held back
 // only if it shares both.
 class RankThrottle {
  public:
-  void OnAsked(const Customer& customer, Instant now);
   void OnTakenIn(const Customer& customer, Instant now);
+  void OnRefused(const Customer& customer, Instant now);
 
   // The chance, 0 to below 1, that a call should be refused here. It lets
   // `spare` times as many calls go as got in lately, so that more getting in
@@ -38,8 +39,8 @@
   static constexpr std::size_t kColumns = 32;
 
   struct Cell {
-    AgedValue asked;
     AgedValue taken_in;
+    AgedValue refused;
   };
 
   static std::size_t ColumnOf(const Customer& customer, std::size_t row);
