Limiter: judge a refusal by the calls that ran when it started

Cause: a back end that refuses above half of its slots answered refusals after others had ended, so that the limit fell below what it takes.

--- a/benchmarks/admission_benchmark.cc
+++ b/benchmarks/admission_benchmark.cc
@@ -6,6 +6,8 @@
 //   most urgent floods at 10x: each other rank keeps its floor in slot time, or
 //     all it asks for; useful work at least 95% of capacity;
 //   one customer floods inside a rank: the others keep 90% of a fair share;
+//   back ends that shed above half of their slots: useful work at least 95% of
+//     what they take;
 //   odd back ends: urgent goodput not below either baseline.
 // The two deployments differ only in their policies.
 
@@ -257,6 +259,23 @@
   }
 }
 
+// All back ends refuse above half of the slots that they announced, and bulk
+// asks for three times what there is.
+void AllShed(const Deployment& deployment, Bounds& bounds) {
+  Scenario scenario = Ordinary(deployment, "shed", 4);
+  for (BackEndTraits& traits : scenario.back_ends) {
+    traits.sheds_above = traits.slots / 2;
+  }
+  constexpr double kShedFlood = 3;
+  AddRank(scenario, Works()[2], kShedFlood, Seconds(1));
+  const Figures figures = Run(scenario, kOurs);
+  const std::string title = deployment.name + " all shed above half";
+  Print(title, figures);
+  const double taken = static_cast<double>(deployment.slots / 2);
+  bounds.AtLeast(title + ": useful work of what they take",
+                 figures.utility() * deployment.slots / taken, 0.95);
+}
+
 int Main() {
   Bounds bounds;
   for (const Deployment& deployment : Deployments()) {
@@ -265,6 +284,7 @@
       MostUrgentFloods(deployment, service, endpoints, bounds);
     }
     OneCustomerFloods(deployment, bounds);
+    AllShed(deployment, bounds);
     OddBackEnds(deployment, bounds);
   }
   return bounds.exit_code();
--- a/src/admission/admission.cc
+++ b/src/admission/admission.cc
@@ -242,6 +242,7 @@
                                      Instant now,
                                      AdmissionActions& actions) {
   call->rank->Start(*call, now);
+  call->beside = static_cast<int>(this->running.size());
   this->suspects_running += call->suspect ? 1 : 0;
   actions.push_back(RunCall{call->id});
 }
@@ -357,7 +358,7 @@
   }
   all.Advance(now);
   const CallList::iterator call = found->second;
-  all.limiter.OnFinished(kind, static_cast<int>(all.running.size()), now);
+  all.limiter.OnFinished(kind, call->beside, now);
   call->rank->Finish(*call, kind == FinishKind::kOk, now);
   all.suspects_running -= call->suspect ? 1 : 0;
   all.running.erase(call);
--- a/src/admission/fair_queue.h
+++ b/src/admission/fair_queue.h
@@ -29,6 +29,7 @@
   Instant started{};
   bool suspect = false;
   bool running = false;
+  int beside = 0;  // Calls that ran when it started, itself included.
   RankState* rank = nullptr;
   CustomerShare* customer = nullptr;  // Null for suspects.
   Seconds customer_charge{0};         // Slot time booked at the start.
--- a/src/admission/limiter.h
+++ b/src/admission/limiter.h
@@ -19,7 +19,7 @@
  public:
   void OnSlots(int announced);
 
-  // A call ended that had run beside `running` calls, itself included.
+  // A call ended that was one of `running` calls when it started.
   void OnFinished(FinishKind kind, int running, Instant now);
 
   int limit() const { return this->current; }
--- a/tests/admission/admission_property_test.cc
+++ b/tests/admission/admission_property_test.cc
@@ -184,8 +184,8 @@
     Instant next{};
   };
 
-  Flood(int slot_count, std::uint64_t seed) : slots(slot_count), random(seed) {
-    this->controller.OnSlots(slot_count, this->now);
+  Flood(int slots, std::uint64_t seed) : random(seed) {
+    this->controller.OnSlots(slots, this->now);
   }
 
   void Run(std::chrono::seconds time) {
@@ -255,7 +255,6 @@
     }
   }
 
-  int slots;
   Random random;
   Instant now{std::chrono::hours(1)};
   std::uint64_t last_id = 0;
