--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace tanagerledge {
@@ -25,8 +26,10 @@
 
 class HttpServer {
  public:
-  // Answers one request; runs in the connection's fiber and may wait.
-  using Handler = std::function<HttpResponse(const HttpRequest&)>;
+  // Answers one request; runs in the connection's fiber and may wait. Nothing
+  // in place of an answer closes the connection.
+  using Handler =
+      std::function<std::optional<HttpResponse>(const HttpRequest&)>;
 
   HttpServer(IoLoop& loop, Handler handler, HttpLimits limits = {});
   ~HttpServer();
@@ -35,9 +38,13 @@
   tl::expected<boost::asio::ip::tcp::endpoint, AddressError> Accept(
       const boost::asio::ip::tcp::endpoint& endpoint);
 
-  // No new connections; each open one ends after the request in progress.
+  // No new connections; each open one ends with its next answer, so that a
+  // request that is already on its way is still answered.
   void Drain();
 
+  // Closes the connections that wait for a request.
+  void CloseIdle();
+
   // Cuts what is left.
   void Close();
 
