--- a/benchmarks/admission_benchmark.cc
+++ b/benchmarks/admission_benchmark.cc
@@ -271,7 +271,7 @@
   const Figures figures = Run(scenario, kOurs);
   const std::string title = deployment.name + " all shed above half";
   Print(title, figures);
-  const double taken = static_cast<double>(deployment.slots / 2);
+  const int taken = deployment.slots / 2;
   bounds.AtLeast(title + ": useful work of what they take",
                  figures.utility() * deployment.slots / taken, 0.95);
 }
