--- a/src/cli/note_commands.cc
+++ b/src/cli/note_commands.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <fstream>
 #include <iterator>
+#include <optional>
 #include <ostream>
 #include <sstream>
 #include <variant>
@@ -169,10 +170,13 @@
 // Carries out the machine's actions until it finishes.
 class Publisher {
  public:
-  Publisher(CliEnvironment& cli_environment, const wire::Publish& publish)
+  Publisher(CliEnvironment& cli_environment,
+            const wire::Publish& publish,
+            std::chrono::milliseconds timeout)
       : environment(cli_environment),
         reader(*cli_environment.log),
-        record(ToRecord(publish)) {}
+        record(ToRecord(publish)),
+        append_timeout(std::min(timeout, kAppendTimeout)) {}
 
   PublishReport Run(PublishMachine& machine) {
     PublishAction action = machine.Start(this->environment.now());
@@ -191,7 +195,7 @@
 
   Events Do(const AppendNote&) {
     return {AppendEnded{this->environment.log->Append(
-        kReleaseStream, this->record, kAppendTimeout)}};
+        kReleaseStream, this->record, this->append_timeout)}};
   }
 
   Events Do(const ReadOn&) {
@@ -217,8 +221,18 @@
   CliEnvironment& environment;
   ReleaseReader reader;
   std::string record;
+  std::chrono::milliseconds append_timeout;
 };
 
+// Why no node would even judge the record; nothing when one would.
+std::optional<std::string> WhySkipped(const wire::Publish& publish) {
+  Fold trial;
+  const auto verdict = trial.Apply(trial.next_offset(), ToRecord(publish));
+  const auto* skipped =
+      verdict ? std::get_if<Skipped>(&verdict->result) : nullptr;
+  return skipped ? std::optional(skipped->text) : std::nullopt;
+}
+
 struct OutcomeWords {
   std::string_view word;
   std::string_view text;
@@ -359,9 +373,13 @@
     return parsed.error();
   }
   const auto publish = MakePublish(environment, arguments, parsed->note);
+  if (const auto why = WhySkipped(publish)) {
+    return Complain(environment, *why + "; nothing was written", kExitUsage);
+  }
   PublishMachine machine(publish.publish_id,
                          environment.now() + arguments.timeout);
-  const PublishReport report = Publisher(environment, publish).Run(machine);
+  const PublishReport report =
+      Publisher(environment, publish, arguments.timeout).Run(machine);
   const ExitCode code = ReportPublish(environment, arguments, *parsed,
                                       publish.publish_id, report);
   if (code != kExitOk || !arguments.watch) {
--- a/src/cli/publish_machine.cc
+++ b/src/cli/publish_machine.cc
@@ -59,7 +59,10 @@
 }
 
 PublishAction PublishMachine::On(const VerdictSeen& event) {
-  if (event.verdict.publish_id == this->publish_id && !this->verdict) {
+  // A record that cannot be judged has no publish id in its verdict.
+  const bool own = event.verdict.publish_id == this->publish_id ||
+                   event.verdict.offset == this->written_at;
+  if (own && !this->verdict) {
     this->verdict = event.verdict;
   }
   return ReadOn{};
--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -208,6 +208,13 @@
   EXPECT_FALSE(report["verdict"]["reasons"].empty());
 }
 
+TEST_F(CommandsTest, OperatorThatNoNodeAccepts_IsRefusedBeforeWriting) {
+  EXPECT_EQ(this->Run({"publish", this->GoodNote().c_str(), "--operator",
+                       "two words"}),
+            kExitUsage);
+  EXPECT_TRUE(this->log.records.empty());
+}
+
 TEST_F(CommandsTest, PublishWhileTheLogIsDown_IsProvedNotPublished) {
   this->log.down = true;
   EXPECT_EQ(this->Run({"publish", this->GoodNote().c_str()}),
--- a/tests/cli/publish_machine_test.cc
+++ b/tests/cli/publish_machine_test.cc
@@ -105,6 +105,17 @@
             PublishOutcome::kNotYetKnown);
 }
 
+TEST_F(PublishMachineTest, OwnRecordSkipped_IsARejectionByItsOffset) {
+  this->Start();
+  this->Take(AppendEnded{LogOffset{7}});
+  Verdict verdict;
+  verdict.offset = {7};
+  verdict.result = Skipped{"no plain word"};
+  this->Take(VerdictSeen{verdict});
+  EXPECT_EQ(OutcomeOf(this->Take(ReadEnded{{8}, {8}})),
+            PublishOutcome::kRejected);
+}
+
 // A log that errs at random: down, or swallowing answers.
 RC_GTEST_FIXTURE_PROP(PublishMachineTest,
                       RandomFaults_ReportAgreesWithTheLog,
