--- a/benchmarks/fleet_benchmark.cc
+++ b/benchmarks/fleet_benchmark.cc
@@ -3,7 +3,8 @@
 // line through the sizes.
 //
 // Bounds, stated before measuring:
-//   - state held by a node (releases and their fold, snapshot, members) at the
+//   - state held by a node (releases and their fold, snapshot, membership) at
+//   the
 //     whole size takes at most half of the 32 MB of control;
 //   - the time of each step grows no faster than n log n, within a factor of 2;
 //   - a match by path allocates nothing;
@@ -29,6 +30,7 @@
 #include "benchmarks/fleet_generator.h"
 #include "src/adapters/codec.h"
 #include "tanagerledge/fold.h"
+#include "tanagerledge/membership.h"
 #include "tanagerledge/note.h"
 
 // Counted memory ------------------------------------------------------------
@@ -224,6 +226,32 @@
   return cost;
 }
 
+// A machine that has heard of every member.
+std::unique_ptr<Membership> MakeMembership(const std::vector<Endpoint>& all) {
+  MembershipConfig config;
+  config.self = {"10.99.0.1:7001"};
+  config.zone = {"zone-0"};
+  config.fleet = "fleet";
+  config.incarnation = {1};
+  auto membership = std::make_unique<Membership>(config, Instant{});
+  wire::SyncReply reply;
+  std::ranges::transform(all, std::back_inserter(reply.updates),
+                         [](const Endpoint& endpoint) {
+                           wire::MemberUpdate update;
+                           update.node = endpoint.node.value;
+                           update.incarnation = 1;
+                           update.__set_zone(endpoint.zone.value);
+                           update.__set_version(1);
+                           wire::Announcement announcement;
+                           announcement.service_name = endpoint.service.value;
+                           announcement.slots = endpoint.slots;
+                           update.__set_announcement(announcement);
+                           return update;
+                         });
+  membership->OnSyncReply({}, reply, Instant{});
+  return membership;
+}
+
 std::vector<Step> Steps() {
   return {
       {"parse the whole note",
@@ -272,9 +300,14 @@
            return fold;
          });
        }},
-      {"table of members",
+      {"membership machine",
+       [](const Fleet& fleet) {
+         return Measure([&] { return MakeMembership(fleet.endpoints); });
+       }},
+      {"list of its members",
        [](const Fleet& fleet) {
-         return Measure([&] { return MakeMembers(fleet.size); });
+         const auto membership = MakeMembership(fleet.endpoints);
+         return Measure([&] { return membership->Members(Instant{}); });
        }},
   };
 }
@@ -309,7 +342,8 @@
   constexpr double kSmallShare = 100;
   const double state = Find(all, "fold one change on top").costs.back().bytes +
                        Find(all, "build a snapshot").costs.back().bytes +
-                       Find(all, "table of members").costs.back().bytes;
+                       Find(all, "membership machine").costs.back().bytes +
+                       Find(all, "list of its members").costs.back().bytes;
   bool holds = Check(state <= kControlBytes / 2,
                      "state of a node: " + std::to_string(state) + " bytes");
   const double per_match = Find(all, "match one path").costs.back().allocations;
--- a/benchmarks/fleet_generator.cc
+++ b/benchmarks/fleet_generator.cc
@@ -104,17 +104,4 @@
   });
 }
 
-std::vector<Member> MakeMembers(const FleetSize& size) {
-  const std::vector<Endpoint> endpoints = MakeEndpoints(size);
-  return MakeMany(size.endpoints, [&](std::size_t index) {
-    Member member;
-    member.node = endpoints[index].node;
-    member.zone = endpoints[index].zone;
-    member.incarnation = {1};
-    member.endpoint = endpoints[index];
-    member.release = {1};
-    return member;
-  });
-}
-
 }  // namespace tanagerledge
--- a/benchmarks/fleet_generator.h
+++ b/benchmarks/fleet_generator.h
@@ -1,4 +1,4 @@
-// Notes, endpoints and members of a fleet of any size, the same each time.
+// Notes and endpoints of a fleet of any size, the same each time.
 
 #ifndef TANAGERLEDGE_BENCHMARKS_FLEET_GENERATOR_H_
 #define TANAGERLEDGE_BENCHMARKS_FLEET_GENERATOR_H_
@@ -7,7 +7,6 @@
 #include <string>
 #include <vector>
 
-#include "tanagerledge/member.h"
 #include "tanagerledge/snapshot.h"
 
 namespace tanagerledge {
@@ -33,7 +32,6 @@
 std::string MakePath(const FleetSize& size, std::size_t call);
 
 std::vector<Endpoint> MakeEndpoints(const FleetSize& size);
-std::vector<Member> MakeMembers(const FleetSize& size);
 
 }  // namespace tanagerledge
 
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -112,7 +112,8 @@
     const std::string outcome =
         this->SendOnce(kind, report, key, attempt == attempts);
     if (outcome == ToText(Outcome::kNotRun) && kind.keyed) {
-      auto& keys = attempt == 1 ? report.not_run_keys : report.later_not_run_keys;
+      auto& keys =
+          attempt == 1 ? report.not_run_keys : report.later_not_run_keys;
       keys.push_back(key);
     }
     if (outcome != ToText(Outcome::kUnknown)) {
@@ -208,7 +209,7 @@
 
 std::string CheckLine(const std::string& what,
                       const LoadReportTotal& report,
-                      std::uint64_t KindReport::* count) {
+                      std::uint64_t KindReport::*count) {
   std::uint64_t sum = 0;
   for (const KindReport& kind : report.kinds) {
     sum += kind.*count;
--- a/src/load/load_run.h
+++ b/src/load/load_run.h
@@ -32,7 +32,7 @@
   std::vector<std::chrono::microseconds> times;  // Of those ok.
   std::vector<std::string> sent_keys;
   std::vector<std::string> ok_keys;
-  std::vector<std::string> not_run_keys;  // By the first and only answer.
+  std::vector<std::string> not_run_keys;        // By the first and only answer.
   std::vector<std::string> later_not_run_keys;  // After an unknown outcome.
 
   // Filled when the plan names back ends: see key_check.h.
--- a/tests/fuzz/message_fuzz_test.cc
+++ b/tests/fuzz/message_fuzz_test.cc
@@ -1,11 +1,15 @@
 // Thrift messages and records from outside: never a crash, and never more
 // memory than the bytes are worth.
 
+#include <distribution_types.h>
+#include <execution_types.h>
 #include <gtest/gtest.h>
+#include <membership_types.h>
 #include <peer_types.h>
 #include <release_types.h>
 
 #include "src/adapters/codec.h"
+#include "src/distribution/state_codec.h"
 #include "tanagerledge/fold.h"
 #include "tests/fuzz/memory.h"
 #include "tests/fuzz/mutation.h"
@@ -78,6 +82,50 @@
   FuzzMessage(MakeRecord());
 }
 
+TEST_F(MessageFuzz, Membership_IsDecodedOrRefused) {
+  wire::MemberUpdate update;
+  wire::MembershipDatagram datagram;
+  datagram.__set_updates({update, update});
+  datagram.__set_buckets({1, 2, 3});
+  datagram.__set_digest(std::string(64, 'd'));
+  FuzzMessage(datagram);
+  wire::MembershipRequest request;
+  wire::SyncRequest sync;
+  sync.buckets = {1, 2};
+  sync.updates = {update};
+  request.__set_sync(sync);
+  FuzzMessage(request);
+  wire::MembershipReply reply;
+  wire::SyncReply sync_reply;
+  sync_reply.updates = {update, update};
+  reply.__set_sync(sync_reply);
+  reply.__set_reach(wire::ReachReply());
+  FuzzMessage(reply);
+}
+
+TEST_F(MessageFuzz, Distribution_IsDecodedOrRefused) {
+  wire::ReleaseMessage message;
+  message.__set_push(wire::ReleasePush());
+  message.__set_summary(wire::ReleaseSummary());
+  message.__set_records(wire::RecordsReply());
+  message.__set_state(wire::StateReply());
+  message.__set_log_end(wire::LogEndReply());
+  FuzzMessage(message);
+}
+
+TEST_F(MessageFuzz, Execution_IsDecodedOrRefused) {
+  wire::IntentBatch batch;
+  batch.intents.resize(2);
+  batch.outcomes.resize(2);
+  FuzzMessage(batch);
+  wire::SuspectRequest request;
+  wire::SuspectTell tell;
+  tell.news.resize(2);
+  request.__set_tell(tell);
+  FuzzMessage(request);
+  FuzzMessage(wire::SuspectLeaseReply());
+}
+
 TEST_F(MessageFuzz, DeepNesting_IsRefusedWithoutARunawayStack) {
   constexpr char kStructOfStruct = 0x1c;  // Field 1 above the last, a struct.
   const std::string nested(1'000'000, kStructOfStruct);
@@ -113,6 +161,17 @@
   });
 }
 
+TEST_F(MessageFuzz, PackedState_IsUnpackedOrRefused) {
+  const PackedState good = PackState(Fold().ToCheckpoint());
+  ASSERT_TRUE(UnpackState(good.packed, good.hash).has_value());
+  Fuzz({good.packed}, [&](const std::string& packed) {
+    const auto checkpoint = UnpackState(packed, good.hash);
+    if (!checkpoint) {
+      EXPECT_FALSE(checkpoint.error().text.empty());
+    }
+  });
+}
+
 TEST_F(MessageFuzz, SpoiledCheckpoints_NeverLowerAFold) {
   Fold source;
   wire::ReleaseRecord record = MakeRecord();
--- a/tests/fuzz/text_fuzz_test.cc
+++ b/tests/fuzz/text_fuzz_test.cc
@@ -6,8 +6,11 @@
 #include "src/adapters/log_page.h"
 #include "src/adapters/net.h"
 #include "src/adapters/settings.h"
+#include "src/node/back_end_watch.h"
+#include "src/node/call_messages.h"
 #include "tanagerledge/ini.h"
 #include "tanagerledge/note.h"
+#include "tanagerledge/session.h"
 #include "tests/fuzz/mutation.h"
 
 namespace tanagerledge {
@@ -85,6 +88,44 @@
   });
 }
 
+TEST_F(TextFuzz, SessionToken_IsReadOrRefusedAndNeverUnbounded) {
+  SessionToken token;
+  token.NoteRelease({7});
+  token.NoteWrite({"claims"}, {3}, {"127.0.0.1:1"});
+  Fuzz({ToText(token)}, [](const std::string& text) {
+    const auto parsed = ParseSessionToken(text);
+    if (parsed) {
+      EXPECT_LE(parsed->writes().size(), kMaxSessionServices);
+      EXPECT_EQ(ParseSessionToken(ToText(*parsed)), parsed);
+    }
+  });
+  EXPECT_FALSE(ParseSessionToken(std::string(100'000, 'a')).has_value());
+}
+
+TEST_F(TextFuzz, Announcement_IsReadOrRefused) {
+  const std::string good =
+      R"({"service": "claims", "address": "127.0.0.1:5000", "slots": 13,)"
+      R"( "connections": 130, "state": "ready", "instance": "4711"})";
+  ASSERT_TRUE(ParseAnnouncement(good).has_value());
+  Fuzz({good}, [](const std::string& body) {
+    const auto announcement = ParseAnnouncement(body);
+    if (!announcement) {
+      EXPECT_FALSE(announcement.error().empty());
+      return;
+    }
+    EXPECT_LE(announcement->slots, kMaxSlots);
+  });
+  EXPECT_FALSE(ParseAnnouncement(std::string(500'000, '[')).has_value());
+}
+
+TEST_F(TextFuzz, NumberOfAHeader_StaysInItsRange) {
+  Fuzz({"17", "-1", "99999999999999999999"}, [](const std::string& text) {
+    const std::int64_t number = NumberOr(text, 5, 64);
+    EXPECT_GE(number, 0);
+    EXPECT_LE(number, 64);
+  });
+}
+
 TEST_F(TextFuzz, LogPage_GivesOnlyBytesOfThePage) {
   std::string page;
   AppendToPage(page, "first");
