fleet_benchmark counts processor time, not elapsed time

Cause: a run beside other builds (load average 29) failed two bounds though the code had not changed: parse 6.77 and validate 10.50 times from half the size to the whole, allowed 4.33; a run on a calmer machine gave 2.05 and 2.15. Elapsed time held the waits for a core. The bound is as it was.

--- a/benchmarks/fleet_benchmark.cc
+++ b/benchmarks/fleet_benchmark.cc
@@ -1,11 +1,11 @@
 // What a release and a table of members cost at an eighth to the whole of
-// 9,500 endpoints in 610 services: time, allocations and bytes, with a straight
-// line through the sizes.
+// 9,500 endpoints in 610 services: processor time, allocations and bytes, with
+// a straight line through the sizes.
 //
 // Bounds, stated before measuring:
-//   - state held by a node (releases and their fold, snapshot, membership) at
-//   the
-//     whole size takes at most half of the 32 MB of control;
+//   - state held by a node at the whole size (releases and their fold,
+//     snapshot, membership, topology) takes at most half of the 32 MB of
+//     control;
 //   - the time of each step grows no faster than n log n, within a factor of 2;
 //   - a match by path allocates nothing;
 //   - the note of one change takes at most a hundredth of the whole state, in
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <functional>
 #include <memory>
 #include <new>
@@ -29,6 +30,7 @@
 
 #include "benchmarks/fleet_generator.h"
 #include "src/adapters/codec.h"
+#include "src/distribution/topology.h"
 #include "tanagerledge/fold.h"
 #include "tanagerledge/membership.h"
 #include "tanagerledge/note.h"
@@ -80,18 +82,25 @@
   double bytes = 0;  // Still held by the result.
 };
 
+// Processor time of this thread: other programs' work does not count.
+std::chrono::duration<double, std::micro> ProcessorTime() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::nanoseconds(time.tv_nsec);
+}
+
 // The least of several runs; the result is dropped outside the time.
 template <typename Work>
 Cost Measure(Work work) {
-  constexpr int kRuns = 7;
+  constexpr int kRuns = 9;
   Cost least;
   for (int run = 0; run < kRuns; ++run) {
     const std::uint64_t allocations_before = allocations;
     const std::int64_t bytes_before = live_bytes;
-    const auto start = std::chrono::steady_clock::now();
+    const auto start = ProcessorTime();
     [[maybe_unused]] const auto result = work();
-    const std::chrono::duration<double, std::micro> time =
-        std::chrono::steady_clock::now() - start;
+    const auto time = ProcessorTime() - start;
     const bool first = run == 0;
     least.microseconds =
         first ? time.count() : std::min(least.microseconds, time.count());
@@ -309,6 +318,12 @@
          const auto membership = MakeMembership(fleet.endpoints);
          return Measure([&] { return membership->Members(Instant{}); });
        }},
+      {"build the topology",
+       [](const Fleet& fleet) {
+         const auto members =
+             MakeMembership(fleet.endpoints)->Members(Instant{});
+         return Measure([&] { return std::make_unique<Topology>(members); });
+       }},
   };
 }
 
@@ -343,7 +358,8 @@
   const double state = Find(all, "fold one change on top").costs.back().bytes +
                        Find(all, "build a snapshot").costs.back().bytes +
                        Find(all, "membership machine").costs.back().bytes +
-                       Find(all, "list of its members").costs.back().bytes;
+                       Find(all, "list of its members").costs.back().bytes +
+                       Find(all, "build the topology").costs.back().bytes;
   bool holds = Check(state <= kControlBytes / 2,
                      "state of a node: " + std::to_string(state) + " bytes");
   const double per_match = Find(all, "match one path").costs.back().allocations;
