--- a/src/cli/reach_page.cc
+++ b/src/cli/reach_page.cc
@@ -57,6 +57,10 @@
 }
 
 std::string LineOf(const ReachPage& reach) {
+  if (reach.zones.empty()) {
+    return "release " + std::to_string(reach.release.value) +
+           ": the node knows no zone to ask";
+  }
   std::string zones;
   std::ranges::for_each(reach.zones, [&](const ReachedZone& zone) {
     zones += (zones.empty() ? "" : ", ") + zone.zone.value + " " +
@@ -108,9 +112,10 @@
                 decisions.end(), [&](const nlohmann::json& decision) {
                   const WallTime at{
                       std::chrono::milliseconds(NumberAt(decision, "at_ms"))};
+                  const std::string reason = TextAt(decision, "reason");
                   text += "  " + ToText(at) + " " + TextAt(decision, "part") +
-                          " " + TextAt(decision, "what") + ": " +
-                          TextAt(decision, "reason") + "\n";
+                          " " + TextAt(decision, "what") +
+                          (reason.empty() ? "" : ": " + reason) + "\n";
                 });
   return text.empty() ? "  none\n" : text;
 }
--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -236,6 +236,12 @@
   EXPECT_TRUE(this->Says("2 of 2 in force"));
 }
 
+TEST_F(CommandsTest, WatchOfANodeThatKnowsNobody_SaysSo) {
+  this->node.pages["/reach"] = {json{{"release", 1}, {"zones", json::array()}}};
+  EXPECT_EQ(this->Run({"watch", "1", "--timeout", "1"}), kExitNotYetKnown);
+  EXPECT_TRUE(this->Says("the node knows no zone to ask"));
+}
+
 TEST_F(CommandsTest, WatchOfAReleaseThatStalls_EndsAsNotYetKnown) {
   this->node.pages["/reach"] = {Reach(1)};
   EXPECT_EQ(this->Run({"watch", "1", "--timeout", "3"}), kExitNotYetKnown);
