--- a/src/node/once_host.h
+++ b/src/node/once_host.h
@@ -41,7 +41,7 @@
   // Must be greater at each start of a node, also after a crash: milliseconds
   // of calendar time at the start will do.
   Incarnation incarnation;
-  OnceTiming timing;
+  OnceTiming timing{};
 };
 
 class OnceHost {
