--- a/benchmarks/call_benchmark.cc
+++ b/benchmarks/call_benchmark.cc
@@ -57,6 +57,12 @@
 deadline_ms = 2000
 )";
 
+HttpRequest CertifyRequest() {
+  HttpRequest request;
+  request.target = "/certify";
+  return request;
+}
+
 microseconds Percentile(Times times, double percent) {
   std::ranges::sort(times);
   const auto index = static_cast<std::size_t>(percent / 100 * times.size());
@@ -77,7 +83,7 @@
     loop.Spawn([&] {
       for (int i = 0; i < kCallsPerCaller; ++i) {
         const Instant start = std::chrono::steady_clock::now();
-        const auto answer = client.Send({.target = "/certify"}, kCallTimeout);
+        const auto answer = client.Send(CertifyRequest(), kCallTimeout);
         const auto took = std::chrono::steady_clock::now() - start;
         if (answer && answer->status == 200) {
           times.push_back(std::chrono::duration_cast<microseconds>(took));
@@ -213,7 +219,7 @@
   loop.Spawn([&] {
     HttpClient client(loop, ParseAddress(front).value());
     for (int i = 0; i < kTries && !served; ++i) {
-      const auto answer = client.Send({.target = "/certify"}, kCallTimeout);
+      const auto answer = client.Send(CertifyRequest(), kCallTimeout);
       served = answer && answer->status == 200;
       loop.SleepFor(kPause);
     }
