Load tool: a resend keeps its customer

Ruled out: the at-most-once machines; a trace of runs showed each doubled key sent again by the tool under another customer, and keys are scoped by customer. Change: the customer is drawn once for each call; back end stand-ins can trace their keyed runs.

--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -79,7 +79,7 @@
   IFS=: read -r service _ slots us <<<"${specs[$1]}"
   "$bin/fake_back_end" --service "$service" --slots "$slots" --seed "$1" \
     --address "127.0.0.1:$((base + 50 + $1))" --admin "${admins[$1]}" \
-    --service-time-us "$us" >"$work/$fleet-$1.back_end" 2>&1 &
+    --service-time-us "$us" --trace >"$work/$fleet-$1.back_end" 2>&1 &
   back_end_pids[$1]=$!
 }
 
--- a/fakes/back_end.cc
+++ b/fakes/back_end.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <iostream>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -158,6 +159,9 @@
   if (!key.empty()) {
     ++this->runs_of_key[std::string(key)];
     ++this->mark;
+    if (this->config.trace) {
+      std::cout << "ran " << key << " " << UnixMicroseconds() << std::endl;
+    }
   }
 }
 
--- a/fakes/back_end.h
+++ b/fakes/back_end.h
@@ -36,6 +36,7 @@
   bool fixed_service_time = false;                 // Each call takes the mean.
   std::chrono::milliseconds warm_up{0};  // Three times slower for so long.
   std::uint64_t seed = 1;
+  bool trace = false;  // Writes a line for each keyed run: `ran KEY unix_us`.
 };
 
 class BackEnd {
--- a/fakes/fake_back_end_main.cc
+++ b/fakes/fake_back_end_main.cc
@@ -28,8 +28,8 @@
       "warm-up-ms", "Time after the start in which it is slower",
       cxxopts::value<int>()->default_value("0"))(
       "seed", "Of its random service times",
-      cxxopts::value<std::uint64_t>()->default_value("1"))("h,help",
-                                                           "Show this help");
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "trace", "Write a line for each keyed run")("h,help", "Show this help");
   try {
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0 || arguments.count("service") == 0) {
@@ -46,6 +46,7 @@
     config.warm_up =
         std::chrono::milliseconds(arguments["warm-up-ms"].as<int>());
     config.seed = arguments["seed"].as<std::uint64_t>();
+    config.trace = arguments.count("trace") > 0;
     const tanagerledge::StopSignal stop;
     tanagerledge::IoLoop loop;
     tanagerledge::BackEnd back_end(loop, config);
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -103,6 +103,9 @@
   const CallKind& kind = this->plan.kinds[kind_index];
   KindReport& report = this->total.kinds[kind_index];
   const std::string key = kind.keyed ? this->NewKey() : std::string();
+  // A resend is the same call only with the same customer: keys are theirs.
+  const std::string customer =
+      "customer-" + std::to_string(this->random() % this->plan.customers);
   ++report.sent;
   if (kind.keyed) {
     report.sent_keys.push_back(key);
@@ -110,7 +113,7 @@
   const int attempts = kind.keyed ? this->plan.resends + 1 : 1;
   for (int attempt = 1; attempt <= attempts; ++attempt) {
     const std::string outcome =
-        this->SendOnce(kind, report, key, attempt == attempts);
+        this->SendOnce(kind, report, key, customer, attempt == attempts);
     if (outcome == ToText(Outcome::kNotRun) && kind.keyed) {
       auto& keys =
           attempt == 1 ? report.not_run_keys : report.later_not_run_keys;
@@ -129,14 +132,13 @@
 std::string LoadRun::SendOnce(const CallKind& kind,
                               KindReport& report,
                               const std::string& key,
+                              const std::string& customer,
                               bool last) {
   Front& front = this->fronts[this->next_front++ % this->fronts.size()];
   HttpRequest request;
   request.method = kind.method;
   request.target = kind.path;
-  const auto customer = this->random() % this->plan.customers;
-  request.headers.push_back(
-      {std::string(kCustomerHeader), "customer-" + std::to_string(customer)});
+  request.headers.push_back({std::string(kCustomerHeader), customer});
   if (!key.empty()) {
     request.headers.push_back({std::string(kKeyHeader), key});
     request.body = key;
--- a/src/load/load_run.h
+++ b/src/load/load_run.h
@@ -73,6 +73,7 @@
   std::string SendOnce(const CallKind& kind,
                        KindReport& report,
                        const std::string& key,
+                       const std::string& customer,
                        bool last);
   void NoteRelease(Front& front, std::string_view release);
   std::string NewKey();
