--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -743,7 +743,7 @@
     return;
   }
   auto message = this->NewMessage(wire::DatagramKind::REACH);
-  message.__set_reach(std::move(report->reach));
+  message.__set_reach(report->reach);
   out.emplace_back(SendDatagram{std::move(report->to), std::move(message),
                                 MembershipPurpose::kReach});
 }
