Suspect host: one RunOn for all, and an end to waiting

Cause: the host had a second RunOn beside the adapters', with no time limit. Change: it uses the shared one; telling the fellows ends after 250 ms.

--- a/src/node/suspect_host.cc
+++ b/src/node/suspect_host.cc
@@ -2,13 +2,11 @@
 
 #include <algorithm>
 #include <boost/fiber/fiber.hpp>
-#include <boost/fiber/future.hpp>
-#include <boost/fiber/operations.hpp>
-#include <memory>
 #include <utility>
 
 #include "execution_types.h"
 #include "src/adapters/codec.h"
+#include "src/adapters/fiber_sync.h"
 #include "src/execution/rendezvous.h"
 
 namespace tanagerledge {
@@ -18,6 +16,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTellTimeout{50};
+// For all of them; answers to callers wait for it.
+constexpr milliseconds kLongestTell{250};
 constexpr milliseconds kLeaseTimeout{50};
 constexpr milliseconds kRetryLease{5};
 constexpr std::chrono::seconds kExpiryPeriod{1};
@@ -51,15 +51,6 @@
           {news.node}};
 }
 
-// Runs `work` on the loop and suspends the calling fiber until it is done.
-template <typename Value>
-Value RunOn(IoLoop& loop, std::function<Value()> work) {
-  auto promise = std::make_shared<boost::fibers::promise<Value>>();
-  boost::fibers::future<Value> value = promise->get_future();
-  loop.Spawn([promise, work = std::move(work)] { promise->set_value(work()); });
-  return value.get();
-}
-
 }  // namespace
 
 SuspectHost::SuspectHost(IoLoop& control_loop,
@@ -130,9 +121,11 @@
     case Standing::kSuspect:
       break;
   }
-  return RunOn<SuspectVerdict>(this->control, [this, fingerprint, deadline] {
-    return this->AwaitLease(fingerprint, deadline);
-  });
+  const auto verdict =
+      RunOn(this->control, deadline, [this, fingerprint, deadline] {
+        return this->AwaitLease(fingerprint, deadline);
+      });
+  return verdict.value_or(SuspectVerdict::kHold);
 }
 
 void SuspectHost::RanSafely(Fingerprint fingerprint, SuspectVerdict verdict) {
@@ -158,7 +151,7 @@
     news = this->table.OnBackEndDied(this->self, running, Now());
     this->NoteSize();
   }
-  RunOn<bool>(this->control, [this, news = std::move(news)] {
+  RunOn(this->control, Now() + kLongestTell, [this, news = std::move(news)] {
     this->Tell(news);
     return true;
   });
