--- a/tests/node/call_path_test.cc
+++ b/tests/node/call_path_test.cc
@@ -67,11 +67,11 @@
            std::string(response.Header(kReasonHeader));
   }
 
-  nlohmann::json Stats() {
+  nlohmann::json Stats(std::size_t node = 1) {
     HttpRequest request;
     request.target = "/stats";
     const auto answer =
-        this->mesh.Send(this->mesh.back_end_address(1), request);
+        this->mesh.Send(this->mesh.back_end_address(node), request);
     return answer ? nlohmann::json::parse(answer->body) : nlohmann::json();
   }
 
@@ -99,6 +99,32 @@
   EXPECT_EQ(this->Stats()["runs_of_key"]["claim-1"], 1);
 }
 
+// The stand-ins share nothing: only the back end that took the write has it.
+TEST_F(CallPathTest, ReadsWithTheWritersToken_GoWhereTheWriteIs) {
+  constexpr int kReads = 10;
+  this->StartServing();
+  this->mesh.AddNode({"claims"});
+  // Until the entry knows the second back end and calls it too.
+  constexpr int kMostTries = 1000;
+  for (int i = 0; i < kMostTries && this->Stats(2)["runs"] == 0; ++i) {
+    this->Call("GET", "/read");
+  }
+  ASSERT_GT(this->Stats(2)["runs"].get<int>(), 0);
+  const HttpResponse write =
+      this->Call("POST", "/claim", {{std::string(kKeyHeader), "claim-2"}});
+  ASSERT_EQ(OutcomeOf(write), "ok none");
+  const bool at_first = this->Stats(1)["runs_of_key"].contains("claim-2");
+  const std::size_t writer = at_first ? 1 : 2;
+  const int before = this->Stats(writer)["runs"].get<int>();
+  const std::string token(write.Header(kSessionHeader));
+  for (int i = 0; i < kReads; ++i) {
+    const HttpResponse read =
+        this->Call("GET", "/read", {{std::string(kSessionHeader), token}});
+    EXPECT_EQ(OutcomeOf(read), "ok none");
+  }
+  EXPECT_EQ(this->Stats(writer)["runs"].get<int>(), before + kReads);
+}
+
 TEST_F(CallPathTest, BackEndSheds_IsNotRunAndDidNotRun) {
   this->StartServing();
   const auto before = this->Stats()["runs"];
