Whether a member lives is said in one place

Cause: the read-through found the same test of a member's state four times, in the node, its at-most-once and suspect hosts and the release topology, and a start time in the node that nothing read. Change: IsLive stands beside Member and all four call it; the field is gone. Behaviour is as it was.

--- a/include/tanagerledge/member.h
+++ b/include/tanagerledge/member.h
@@ -23,6 +23,12 @@
   ReleaseNumber release;
 };
 
+// Whether the member counts as living: a suspect does until it is judged.
+inline bool IsLive(const Member& member) {
+  return member.state == MemberState::kAlive ||
+         member.state == MemberState::kSuspect;
+}
+
 }  // namespace tanagerledge
 
 #endif  // TANAGERLEDGE_MEMBER_H_
--- a/src/distribution/topology.cc
+++ b/src/distribution/topology.cc
@@ -7,11 +7,6 @@
 namespace tanagerledge {
 namespace {
 
-bool IsLive(const Member& member) {
-  return member.state == MemberState::kAlive ||
-         member.state == MemberState::kSuspect;
-}
-
 std::vector<NodeId> FirstByHash(std::vector<NodeId> nodes,
                                 std::string_view purpose,
                                 std::size_t count) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -72,7 +72,6 @@
 
 Node::Node(Settings node_settings)
     : settings(std::move(node_settings)),
-      started_at(Now()),
       identity{this->settings.fleet, this->settings.address,
                this->settings.zone, NewIncarnation(), this->settings.delays},
       decisions(kDecisionsKept),
@@ -306,11 +305,9 @@
   }
   std::vector<Endpoint> endpoints;
   for (const Member& member : this->members) {
-    const bool lives = member.state == MemberState::kAlive ||
-                       member.state == MemberState::kSuspect;
     const bool serves =
         member.endpoint && member.endpoint->state != EndpointState::kGone;
-    if (lives && serves) {
+    if (IsLive(member) && serves) {
       endpoints.push_back(*member.endpoint);
     }
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -73,7 +73,6 @@
   void TellBackEndState(const Announcement& announcement, EndpointState state);
 
   const Settings settings;
-  const Instant started_at;
   PeerIdentity identity;
   PeerCounters peer_counters;
   DecisionLog decisions;
--- a/src/node/once_host.cc
+++ b/src/node/once_host.cc
@@ -40,11 +40,6 @@
              : AppendEnd::kNothingWritten;
 }
 
-bool IsLive(const Member& member) {
-  return member.state == MemberState::kAlive ||
-         member.state == MemberState::kSuspect;
-}
-
 // The best nodes, one for each zone first, so that no zone's loss takes both
 // the owner and the deputy.
 std::vector<NodeId> PickCandidates(
--- a/src/node/suspect_host.cc
+++ b/src/node/suspect_host.cc
@@ -74,10 +74,8 @@
                              const ServiceName& service) {
   this->fellows.clear();
   for (const Member& member : members) {
-    const bool lives = member.state == MemberState::kAlive ||
-                       member.state == MemberState::kSuspect;
     const bool serves = member.endpoint && member.endpoint->service == service;
-    if (lives && serves && member.node != this->self) {
+    if (IsLive(member) && serves && member.node != this->self) {
       this->fellows.push_back(member.node);
     }
   }
