--- a/apps/tanagerledged_main.cc
+++ b/apps/tanagerledged_main.cc
@@ -1,13 +1,21 @@
 // tanagerledged: one node, beside one back end.
 
+#include <algorithm>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <memory>
+#include <optional>
 #include <string>
 
+#include "platform/names.h"
+#include "platform/platform.h"
+#include "platform/store_client.h"
 #include "src/adapters/logging.h"
 #include "src/adapters/settings.h"
 #include "src/adapters/stop_signal.h"
 #include "src/node/node.h"
+#include "src/sidecar/sidecar.h"
 
 namespace {
 
@@ -27,11 +35,55 @@
     std::cerr << "tanagerledged: " << started.error() << "\n";
     return kExitFailed;
   }
-  stop.Wait();
+  while (stop.Wait() == tanagerledge::SignalKind::kReload) {
+    LOG_PART(tanagerledge::Part::kNode, info)
+        << "SIGHUP: settings of this kind of node are read at its start only.";
+  }
   node.Shutdown();
   return kExitOk;
 }
 
+void PrintFaults(const std::string& path,
+                 const std::vector<tanagerledge::TextFault>& faults) {
+  std::ranges::for_each(faults, [&](const tanagerledge::TextFault& fault) {
+    std::cerr << path << ":" << fault.line << ": " << fault.text << "\n";
+  });
+}
+
+int RunSidecar(const std::string& path,
+               const tanagerledge::Settings& settings) {
+  const tanagerledge::StopSignal stop;
+  const tanagerledge::platform::Platform platform;
+  tanagerledge::Sidecar sidecar(
+      settings, platform, [&settings](tanagerledge::IoLoop& loop) {
+        return std::make_unique<tanagerledge::platform::StoreClient>(
+            loop, tanagerledge::ParseAddress(settings.log_address).value());
+      });
+  if (const auto started = sidecar.Start(); !started) {
+    std::cerr << "tanagerledged: " << started.error() << "\n";
+    return kExitFailed;
+  }
+  while (stop.Wait() == tanagerledge::SignalKind::kReload) {
+    const auto next = tanagerledge::ReadSettings(path);
+    if (next) {
+      sidecar.Reload(*next);
+    } else {
+      PrintFaults(path, next.error());  // The settings in force stay.
+    }
+  }
+  sidecar.Shutdown();
+  return kExitOk;
+}
+
+// The argument, or the path that the platform hands over.
+std::optional<std::string> SettingsPath(const cxxopts::ParseResult& arguments) {
+  if (arguments.count("settings") > 0) {
+    return arguments["settings"].as<std::string>();
+  }
+  const char* path = std::getenv(tanagerledge::platform::kSettingsVariable);
+  return path == nullptr ? std::nullopt : std::optional<std::string>(path);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -44,25 +96,25 @@
   options.positional_help("SETTINGS.ini");
   try {
     const auto arguments = options.parse(argc, argv);
-    if (arguments.count("help") > 0 || arguments.count("settings") == 0) {
+    const std::optional<std::string> path = SettingsPath(arguments);
+    if (arguments.count("help") > 0 || !path) {
       std::cout << options.help()
                 << "\nExample:\n  tanagerledged node-1.ini\n"
                    "Ends on SIGTERM after the calls in flight.\n";
       return arguments.count("help") > 0 ? kExitOk : kExitBadUsage;
     }
-    const auto path = arguments["settings"].as<std::string>();
-    const auto settings = tanagerledge::ReadSettings(path);
+    const auto settings = tanagerledge::ReadSettings(*path);
     if (!settings) {
-      for (const tanagerledge::TextFault& fault : settings.error()) {
-        std::cerr << path << ":" << fault.line << ": " << fault.text << "\n";
-      }
+      PrintFaults(*path, settings.error());
       return kExitBadUsage;
     }
     if (arguments.count("check") > 0) {
-      std::cout << path << ": good\n";
+      std::cout << *path << ": good\n";
       return kExitOk;
     }
-    return RunNode(*settings);
+    return settings->source == tanagerledge::ConfigSource::kPlatform
+               ? RunSidecar(*path, *settings)
+               : RunNode(*settings);
   } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << "tanagerledged: " << error.what() << "\n";
     return kExitBadUsage;
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -23,6 +23,8 @@
   /** Ranks worth less than this are refused now. */
   4: i32 admission_level
   5: i64 service_time_us
+  /** Of recent calls, those without a good answer. */
+  6: i32 failing_permille
 }
 
 struct CallRequest {
@@ -42,6 +44,20 @@
   13: i64 write_mark
   14: i64 fingerprint
   15: bool within_retry
+  /** Names the caller's attempt. */
+  16: string attempt_id
+  /** The route, for estimates of its work. */
+  17: string route
+  /** 0 is the most urgent. */
+  18: i32 priority
+  /** Time left to the route's target when the message was sent. */
+  19: i64 target_us
+  /** Made by a request that holds a slot elsewhere. */
+  20: bool nested
+  /** Was turned away before and came back. */
+  21: bool returning
+  /** Names this send of the attempt, so that it may be asked for later. */
+  22: string send_id
 }
 
 struct CallReply {
@@ -56,4 +72,30 @@
   9: i64 execution_us
   /** A hop further down has decided about a retry already. */
   10: bool judged
+  /** With a refusal: when there will be room. */
+  11: i64 room_in_us
+}
+
+/** What became of a send whose reply was lost with its connection. */
+struct SendQuestion {
+  1: string send_id
+  /** The start of the node that it was sent to. */
+  2: i64 incarnation
+  3: i64 remaining_us
+}
+
+/** The caller behind a send has gone. */
+struct SendCancel {
+  1: string send_id
+}
+
+/** The configuration that a node has, when it is newer than `known_version`. */
+struct ConfigQuestion {
+  1: i64 known_version
+}
+
+struct ConfigAnswer {
+  1: i64 version
+  /** As the store holds it; empty when the version is not newer. */
+  2: binary content
 }
--- /dev/null
+++ b/include/tanagerledge/back_end_life.h
@@ -0,0 +1,100 @@
+// What a node knows of the backend server beside it, and whether a call may
+// still be sent there. The node is the only way in, so what this machine says
+// holds for the whole fleet.
+//
+// Load pattern: back ends that are replaced, drained or crash while calls come
+// in, and heartbeats that arrive late or out of order from an earlier start.
+//
+// Pure: heartbeats and the time in, verdicts out.
+
+#ifndef TANAGERLEDGE_BACK_END_LIFE_H_
+#define TANAGERLEDGE_BACK_END_LIFE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+
+#include "tanagerledge/snapshot.h"
+#include "tanagerledge/types.h"
+
+namespace tanagerledge {
+
+// What a back end says of itself, decoded and checked.
+struct Heartbeat {
+  std::string instance;        // Names this start, mostly.
+  std::int64_t born_ms = 0;    // Unix time of its start; 0 when not said.
+  std::uint64_t sequence = 0;  // Grows with each heartbeat of one start.
+  ServiceName service;
+  std::string address;
+  int slots = 0;                           // Requests that it runs at once.
+  bool draining = false;                   // Takes no new work soon.
+  std::chrono::milliseconds cold_left{0};  // Slow for so much longer.
+};
+
+enum class HeartbeatVerdict {
+  kTaken,    // Nothing but the time of the last word has changed.
+  kChanged,  // Service, slots, state or start differ from before.
+  kStale,    // From before something that is known already: ignored.
+};
+
+struct BackEndLifeConfig {
+  // A back end that is silent for so long counts as gone. Three heartbeats of
+  // the platform's 1.5 s; one may come seconds late.
+  std::chrono::milliseconds silence{4500};
+  // How long after the acknowledgement of a drain calls are still sent on, for
+  // those that were under way. Half of the platform's bound of 2 s.
+  std::chrono::milliseconds drain_tail{1000};
+};
+
+class BackEndLife {
+ public:
+  explicit BackEndLife(BackEndLifeConfig life_config = {})
+      : config(life_config) {}
+
+  // Events -------------------------------------------------------------------
+
+  HeartbeatVerdict OnHeartbeat(const Heartbeat& heartbeat, Instant now);
+  // The back end says that it goes; it serves on for a moment. True when it was
+  // the one that is known.
+  bool OnLeave(const std::string& instance, Instant now);
+  // Proved: nothing listens at its address, or another instance answers there.
+  void OnDied(const std::string& instance);
+
+  // Questions ----------------------------------------------------------------
+
+  // The back end, whatever its state; nothing before the first heartbeat.
+  const std::optional<Heartbeat>& known() const { return this->current; }
+  // How the fleet is to see it.
+  EndpointState State(Instant now) const;
+  // Whether a call for `service` may be sent to it now.
+  bool MayRun(const ServiceName& service, Instant now) const;
+
+ private:
+  // One start of a back end.
+  struct Start {
+    std::string instance;
+    std::int64_t born_ms = 0;
+
+    bool operator==(const Start&) const = default;
+  };
+
+  static Start StartOf(const Heartbeat& heartbeat) {
+    return {heartbeat.instance, heartbeat.born_ms};
+  }
+  bool IsRetired(const Start& start) const;
+  void Retire(const Start& start);
+  bool IsOlder(const Heartbeat& heartbeat) const;
+
+  BackEndLifeConfig config;
+  std::optional<Heartbeat> current;
+  Instant heard{};
+  std::optional<Instant> leaving;  // When its leaving was acknowledged.
+  bool dead = false;
+  std::deque<Start> retired;  // Left for good: their late heartbeats are stale.
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_BACK_END_LIFE_H_
--- /dev/null
+++ b/include/tanagerledge/config_follower.h
@@ -0,0 +1,94 @@
+// Where a node gets the newest configuration from: the store, or its peers
+// while the store does not answer it.
+//
+// Failure pattern: the store is down, slow, turns this node away, loses answers
+// or has dropped its history, while the configuration goes on changing. The
+// store is asked with a long wait, so a quiet store costs few calls; a read
+// that is overdue or failed sends the node to its peers, and a peer that
+// mentions a newer version is asked at once.
+//
+// Pure: events and the time in, actions out. One read of the store and one
+// question to a peer are under way at a time.
+
+#ifndef TANAGERLEDGE_CONFIG_FOLLOWER_H_
+#define TANAGERLEDGE_CONFIG_FOLLOWER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "tanagerledge/ports.h"
+#include "tanagerledge/types.h"
+
+namespace tanagerledge {
+
+// Read the newest value; it replaces whatever is known.
+struct ReadNewestConfig {};
+
+// Read the records from here on, waiting for the next one.
+struct ReadConfigRecords {
+  LogOffset from;
+  std::chrono::milliseconds wait{0};
+};
+
+// Ask a peer that is connected for anything newer.
+struct AskPeerForConfig {};
+
+using FollowAction =
+    std::variant<ReadNewestConfig, ReadConfigRecords, AskPeerForConfig>;
+using FollowActions = std::vector<FollowAction>;
+
+struct ConfigFollowerConfig {
+  // How long the store holds a read without news. A connection that went silent
+  // is noticed after this; a store call is priced, so it is not shorter.
+  std::chrono::milliseconds wait{10000};
+  // Between a failed read and the next; doubled up to the longest.
+  std::chrono::milliseconds retry{200};
+  std::chrono::milliseconds longest_retry{1600};
+  // Between questions to peers while the store does not answer.
+  std::chrono::milliseconds peer_interval{500};
+};
+
+class ConfigFollower {
+ public:
+  explicit ConfigFollower(ConfigFollowerConfig follow_config = {})
+      : config(follow_config) {}
+
+  // Every 50 ms or so.
+  FollowActions Tick(Instant now);
+
+  // How a read ended.
+  void OnNewest(LogOffset end, Instant now);
+  void OnRecords(LogOffset next, Instant now);
+  void OnStoreError(LogErrorKind kind, Instant now);
+
+  // How a question ended, and what a peer said that it has in force.
+  void OnPeerAnswered(Instant now);
+  void OnPeerVersion(std::uint64_t version, Instant now);
+
+  // Whether a configuration of this version is to be put in force, and from now
+  // on counts as being so: never one that is older.
+  bool Take(std::uint64_t version);
+
+  std::optional<std::uint64_t> version() const { return this->in_force; }
+  bool store_answers() const { return this->failures == 0; }
+
+ private:
+  void OnStoreAnswered();
+
+  ConfigFollowerConfig config;
+  std::optional<std::uint64_t> in_force;
+  std::optional<LogOffset> next;  // Where to read on; newest first without it.
+  bool reading = false;
+  bool asking = false;
+  bool heard_of_newer = false;
+  int failures = 0;  // Of the store in a row.
+  Instant next_read{};
+  Instant next_ask{};
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_CONFIG_FOLLOWER_H_
--- a/include/tanagerledge/load.h
+++ b/include/tanagerledge/load.h
@@ -16,6 +16,7 @@
   // rank below it still gets its floor.
   int admission_level = 0;
   std::chrono::microseconds service_time{0};  // Mean of recent calls.
+  int failing_permille = 0;  // Of recent calls, those without a good answer.
 
   bool operator==(const LoadReport&) const = default;
 };
--- a/include/tanagerledge/membership.h
+++ b/include/tanagerledge/membership.h
@@ -110,6 +110,9 @@
   MembershipActions Leave(Instant now);
   void SetInForce(ReleaseNumber release);
 
+  // More nodes to join by, learned after the start.
+  void AddSeeds(const std::vector<NodeId>& seeds, Instant now);
+
   // What this node knows ---------------------------------------------------
 
   // Every member with this node, the dead until their tombstones end.
--- a/include/tanagerledge/ports.h
+++ b/include/tanagerledge/ports.h
@@ -30,8 +30,10 @@
   kOnce = 4,
   kSuspects = 5,
   kReach = 6,
+  kSend = 7,    // What became of a sent call, and that its caller left.
+  kConfig = 8,  // The newest configuration, for nodes cut from the store.
 };
-inline constexpr std::size_t kChannelCount = 7;
+inline constexpr std::size_t kChannelCount = 9;
 
 enum class PeerErrorKind {
   kNotSent,  // Proved: no byte of the request left this node.
@@ -110,6 +112,43 @@
       std::chrono::milliseconds timeout) = 0;
 };
 
+// The newest record of one key.
+struct KeyedRecord {
+  std::string key;
+  std::string value;
+  LogOffset offset;
+};
+
+struct KeyedPage {
+  std::vector<KeyedRecord> records;  // One a key, in no order.
+  LogOffset end;                     // One past the last record when read.
+};
+
+// A log whose streams may also be read by key: the newest record of each key is
+// kept for good.
+class KeyedLogPort : public LogPort {
+ public:
+  // Every key of the stream with its newest value.
+  virtual tl::expected<KeyedPage, LogError> ReadNewest(
+      std::string_view stream,
+      std::chrono::milliseconds timeout) = 0;
+
+  // Puts a new value under a key.
+  virtual tl::expected<LogOffset, LogError> Put(
+      std::string_view stream,
+      std::string_view key,
+      std::string_view value,
+      std::chrono::milliseconds timeout) = 0;
+
+  // The key and value of a record that Read returned; an error when the bytes
+  // are no keyed record.
+  virtual tl::expected<KeyedRecord, std::string> DecodeKeyed(
+      const LogRecord& record) const = 0;
+
+  // Ends calls in flight; every later one is kUnavailable.
+  virtual void Close() = 0;
+};
+
 }  // namespace tanagerledge
 
 #endif  // TANAGERLEDGE_PORTS_H_
--- /dev/null
+++ b/include/tanagerledge/slot_queue.h
@@ -0,0 +1,128 @@
+// Which calls run in the slots of one back end, in which order, and which are
+// turned away. One queue stands in front of each back end, at the node beside
+// it; calls wait nowhere else.
+//
+// Load pattern: bursts of one kind of work at twice its usual rate, while calls
+// made by running requests and more urgent kinds share the same slots. The
+// queue admits what it predicts to end in time, puts work that can still meet
+// its target before work that can't, and refuses the rest on arrival, with the
+// time at which there will be room.
+//
+// Pure: each event returns the actions that follow from it.
+//
+//   for (const SlotAction& action : queue.Offer(call, now)) { ... }
+//
+// Each offered id gets exactly one StartCall or one TurnAway.
+
+#ifndef TANAGERLEDGE_SLOT_QUEUE_H_
+#define TANAGERLEDGE_SLOT_QUEUE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "tanagerledge/load.h"
+#include "tanagerledge/outcome.h"
+#include "tanagerledge/types.h"
+
+namespace tanagerledge {
+
+// Events and actions ---------------------------------------------------------
+
+struct SlotRequest {
+  std::uint64_t id = 0;    // Unique.
+  std::string work;        // Kind of work, for estimates: the route's name.
+  int priority = 0;        // 0 is the most urgent.
+  bool nested = false;     // Made by a request that holds a slot elsewhere.
+  bool returning = false;  // Was turned away before and came back.
+  Instant target{};        // Worth more when it ends by then.
+  Instant deadline{};      // Worth nothing after it.
+};
+
+// The call holds a slot until OnFinished.
+struct StartCall {
+  std::uint64_t id = 0;
+};
+
+// The call has not run and will not.
+struct TurnAway {
+  std::uint64_t id = 0;
+  Reason reason = Reason::kOverloaded;
+  std::chrono::microseconds room_in{0};  // When to come back.
+};
+
+using SlotAction = std::variant<StartCall, TurnAway>;
+using SlotActions = std::vector<SlotAction>;
+
+// Queue ----------------------------------------------------------------------
+
+class SlotQueue {
+ public:
+  // Slots that the back end announced. Without any, nothing starts.
+  SlotActions OnSlots(int count, Instant now);
+
+  SlotActions Offer(const SlotRequest& request, Instant now);
+
+  // A started call has ended, and whether the time that it took tells how long
+  // such work takes.
+  SlotActions OnFinished(std::uint64_t id, FinishKind kind, Instant now);
+
+  // The caller has gone. Waiting: turned away. Running: stays until OnFinished.
+  SlotActions OnCancel(std::uint64_t id);
+
+  // Turns away all that waits: the back end goes.
+  SlotActions Flush(Reason reason);
+
+  // Turns away what can't end by its deadline any more. Every 20 ms or so while
+  // calls wait.
+  SlotActions OnTick(Instant now);
+
+  LoadReport Report() const;
+  std::size_t waiting() const { return this->queue.size(); }
+  std::size_t running() const { return this->started.size(); }
+
+ private:
+  // Smaller goes first.
+  struct Order {
+    bool not_nested = false;
+    int priority = 0;
+    bool late = false;  // Can't meet its target any more.
+    bool newcomer = false;
+    std::uint64_t arrival = 0;
+
+    auto operator<=>(const Order&) const = default;
+  };
+
+  struct Running {
+    std::string work;
+    Instant since{};
+  };
+
+  // Expected ends of the slots, the earliest first.
+  class SlotEnds;
+
+  std::chrono::microseconds Estimate(const std::string& work) const;
+  void Learn(const std::string& work, std::chrono::microseconds took);
+  SlotEnds EndsOfRunning(Instant now) const;
+  Instant PredictStart(const Order& order, Instant now) const;
+  Order OrderOf(const SlotRequest& request, Instant now);
+  void Fill(Instant now, SlotActions& out);
+
+  int slots = 0;
+  std::uint64_t arrivals = 0;
+  std::map<Order, SlotRequest> queue;
+  std::unordered_map<std::uint64_t, Order> waiting_order;
+  std::unordered_map<std::uint64_t, Running> started;
+  std::unordered_map<std::string, std::chrono::microseconds> estimates;
+  std::chrono::microseconds overall{0};  // Mean time of any work.
+  double failing = 0;                    // Share of recent calls that failed.
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_SLOT_QUEUE_H_
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -9,7 +9,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <charconv>
 #include <iterator>
+#include <optional>
 
 namespace tanagerledge {
 
@@ -28,7 +30,11 @@
   request.target(from.target);
   request.set(http::field::host, beast::string_view(host.data(), host.size()));
   std::ranges::for_each(from.headers, [&](const HttpHeader& header) {
-    request.insert(header.name, header.value);
+    if (beast::iequals(header.name, "host")) {
+      request.set(http::field::host, header.value);
+    } else {
+      request.insert(header.name, header.value);
+    }
   });
   request.body() = from.body;
   request.prepare_payload();
@@ -39,6 +45,23 @@
   return {text.data(), text.size()};
 }
 
+// The time in a field such as `Keep-Alive: timeout=5, max=100`.
+std::optional<std::chrono::seconds> StatedIdleTime(beast::string_view field) {
+  constexpr std::string_view kKey = "timeout=";
+  const std::string_view text(field.data(), field.size());
+  const std::size_t at = text.find(kKey);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int seconds = 0;
+  const std::string_view digits = text.substr(at + kKey.size());
+  const auto [end, code] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return code == std::errc() && seconds >= 0
+             ? std::optional(std::chrono::seconds(seconds))
+             : std::nullopt;
+}
+
 HttpResponse FromBeast(http::response<http::string_body>&& from) {
   HttpResponse response;
   response.status = static_cast<int>(from.result_int());
@@ -72,6 +95,8 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   bool reusable = false;
+  std::chrono::milliseconds idle_time{0};  // How long it may wait for reuse.
+  Instant idle_since{};
 };
 
 // Client --------------------------------------------------------------------
@@ -96,7 +121,8 @@
 
 tl::expected<HttpResponse, HttpError> HttpClient::Send(
     const HttpRequest& request,
-    std::chrono::milliseconds timeout) {
+    std::chrono::milliseconds timeout,
+    const ExchangeOptions& exchange) {
   const Instant deadline = std::chrono::steady_clock::now() + timeout;
   auto connection = this->Take(deadline);
   if (!connection) {
@@ -105,15 +131,28 @@
   Connection& taken = **connection;
   this->busy.insert(&taken);
   taken.stream.expires_at(deadline);
-  auto response = this->Exchange(taken, request);
+  if (exchange.cancel != nullptr) {
+    *exchange.cancel = [&taken] { taken.stream.close(); };
+  }
+  auto response = this->Exchange(taken, request, exchange);
+  if (exchange.cancel != nullptr) {
+    *exchange.cancel = nullptr;
+  }
   this->busy.erase(&taken);
-  const bool keep = taken.reusable && !this->closed &&
+  this->Keep(std::move(*connection));
+  return response;
+}
+
+void HttpClient::Keep(ConnectionPtr connection) {
+  // Bytes after the answer belong to no request: the connection is not safe.
+  const bool keep = connection->reusable && connection->buffer.size() == 0 &&
+                    !this->closed &&
                     this->idle.size() < this->options.max_idle_connections;
   if (keep) {
-    taken.stream.expires_never();
-    this->idle.push_back(std::move(*connection));
+    connection->stream.expires_never();
+    connection->idle_since = std::chrono::steady_clock::now();
+    this->idle.push_back(std::move(connection));
   }
-  return response;
 }
 
 tl::expected<HttpClient::ConnectionPtr, HttpError> HttpClient::Take(
@@ -121,7 +160,9 @@
   while (!this->idle.empty()) {
     ConnectionPtr connection = std::move(this->idle.back());
     this->idle.pop_back();
-    if (connection->StillStands()) {
+    const auto waited =
+        std::chrono::steady_clock::now() - connection->idle_since;
+    if (waited < connection->idle_time && connection->StillStands()) {
       return connection;
     }
   }
@@ -135,7 +176,10 @@
   }
   auto connection = std::make_unique<Connection>(this->loop.context());
   this->busy.insert(connection.get());
-  connection->stream.expires_at(deadline);
+  ++this->connections_made;
+  connection->stream.expires_at(std::min(
+      deadline,
+      std::chrono::steady_clock::now() + this->options.connect_timeout));
   const auto error = AwaitError([&](auto handler) {
     connection->stream.async_connect(this->server, std::move(handler));
   });
@@ -151,7 +195,8 @@
 
 tl::expected<HttpResponse, HttpError> HttpClient::Exchange(
     Connection& connection,
-    const HttpRequest& request) {
+    const HttpRequest& request,
+    const ExchangeOptions& exchange) {
   connection.reusable = false;
   const auto message = ToBeast(request, this->host);
   const auto written = Await<std::size_t>([&](auto handler) {
@@ -162,9 +207,21 @@
         written.value > 0,
         "cannot send to " + this->host + ": " + written.error.message()});
   }
+  auto answer = this->ReadAnswer(connection, request.method == "HEAD");
+  while (answer && exchange.belongs && !exchange.belongs(*answer) &&
+         connection.reusable) {
+    answer = this->ReadAnswer(connection, request.method == "HEAD");
+  }
+  return answer;
+}
 
+tl::expected<HttpResponse, HttpError> HttpClient::ReadAnswer(
+    Connection& connection,
+    bool head_only) {
   http::response_parser<http::string_body> parser;
   parser.body_limit(this->options.max_body_bytes);
+  parser.skip(head_only);
+  connection.reusable = false;
   const auto read = Await<std::size_t>([&](auto handler) {
     http::async_read(connection.stream, connection.buffer, parser,
                      std::move(handler));
@@ -173,6 +230,13 @@
     return tl::unexpected(HttpError{
         true, "no answer from " + this->host + ": " + read.error.message()});
   }
+  // One second early: the server's clock began when it sent the answer.
+  const auto stated = StatedIdleTime(parser.get()[http::field::keep_alive]);
+  connection.idle_time = this->options.max_idle_time;
+  if (stated) {
+    connection.idle_time = std::min<std::chrono::milliseconds>(
+        connection.idle_time, *stated - std::chrono::seconds(1));
+  }
   connection.reusable = parser.get().keep_alive();
   return FromBeast(parser.release());
 }
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -17,6 +17,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -37,6 +38,19 @@
 struct HttpClientOptions {
   std::size_t max_body_bytes = 1024 * 1024;
   std::size_t max_idle_connections = 4;
+  // An idle connection older than this is not used again, so that no request
+  // meets a server that is just closing it. A server that states a shorter time
+  // in its Keep-Alive field is believed.
+  std::chrono::milliseconds max_idle_time{60000};
+  std::chrono::milliseconds connect_timeout{60000};
+};
+
+// What a caller may ask of one exchange. Everything is optional.
+struct ExchangeOptions {
+  // False for an answer that belongs to another request: it is read past.
+  std::function<bool(const HttpResponse&)> belongs;
+  // Set by Send while the exchange is under way: ends it, as lost.
+  std::function<void()>* cancel = nullptr;
 };
 
 class HttpClient {
@@ -50,12 +64,16 @@
 
   // Sends a request and waits for the whole response, at most `timeout` from
   // connecting to the last byte. Never sends a request twice.
-  tl::expected<HttpResponse, HttpError> Send(const HttpRequest& request,
-                                             std::chrono::milliseconds timeout);
+  tl::expected<HttpResponse, HttpError> Send(
+      const HttpRequest& request,
+      std::chrono::milliseconds timeout,
+      const ExchangeOptions& exchange = {});
 
   // Ends requests in flight; every later one fails as not sent.
   void Close();
 
+  std::uint64_t connects() const { return this->connections_made; }
+
  private:
   struct Connection;
   using ConnectionPtr = std::unique_ptr<Connection>;
@@ -63,8 +81,13 @@
   // An idle connection that still stands, or a new one.
   tl::expected<ConnectionPtr, HttpError> Take(Instant deadline);
   tl::expected<ConnectionPtr, HttpError> Connect(Instant deadline);
-  tl::expected<HttpResponse, HttpError> Exchange(Connection& connection,
-                                                 const HttpRequest& request);
+  tl::expected<HttpResponse, HttpError> Exchange(
+      Connection& connection,
+      const HttpRequest& request,
+      const ExchangeOptions& exchange);
+  tl::expected<HttpResponse, HttpError> ReadAnswer(Connection& connection,
+                                                   bool head_only);
+  void Keep(ConnectionPtr connection);
 
   IoLoop& loop;
   boost::asio::ip::tcp::endpoint server;
@@ -73,6 +96,7 @@
   std::vector<ConnectionPtr> idle;
   std::set<Connection*> busy;
   bool closed = false;
+  std::uint64_t connections_made = 0;
 };
 
 }  // namespace tanagerledge
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -53,6 +53,24 @@
 
 }  // namespace
 
+// Departure -----------------------------------------------------------------
+
+void Departure::OnLeave(std::function<void()> action) {
+  if (this->gone) {
+    action();
+    return;
+  }
+  this->on_leave = std::move(action);
+}
+
+void Departure::Announce() {
+  if (!std::exchange(this->gone, true) && this->on_leave) {
+    this->on_leave();
+  }
+}
+
+// Connection ----------------------------------------------------------------
+
 struct HttpServer::Connection {
   explicit Connection(tcp::socket socket) : stream(std::move(socket)) {}
 
@@ -62,6 +80,16 @@
     this->stream.close();
   }
 
+  // True when the caller has closed the connection or it broke.
+  bool CallerLeft() {
+    char byte = 0;
+    error_code error;
+    this->stream.socket().non_blocking(true, error);
+    const std::size_t read = this->stream.socket().receive(
+        boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error != boost::asio::error::would_block && (error || read == 0);
+  }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   bool idle = true;  // Between requests: may be closed without loss.
@@ -72,6 +100,13 @@
                        HttpLimits http_limits)
     : loop(io_loop), handler(std::move(request_handler)), limits(http_limits) {}
 
+HttpServer::HttpServer(IoLoop& io_loop,
+                       WatchfulHandler request_handler,
+                       HttpLimits http_limits)
+    : loop(io_loop),
+      watchful_handler(std::move(request_handler)),
+      limits(http_limits) {}
+
 HttpServer::~HttpServer() = default;
 
 tl::expected<tcp::endpoint, AddressError> HttpServer::Accept(
@@ -126,14 +161,15 @@
 void HttpServer::Serve(const std::shared_ptr<Connection>& connection) {
   error_code ignored;
   connection->stream.socket().set_option(tcp::no_delay(true), ignored);
-  while (this->ServeOne(*connection)) {
+  while (this->ServeOne(connection)) {
   }
   connection->Close();
   this->connections.erase(connection);
 }
 
 // One request and its answer; false when the connection is to end.
-bool HttpServer::ServeOne(Connection& connection) {
+bool HttpServer::ServeOne(const std::shared_ptr<Connection>& held) {
+  Connection& connection = *held;
   connection.idle = true;
   http::request_parser<http::string_body> parser;
   parser.body_limit(this->limits.max_body_bytes);
@@ -159,12 +195,13 @@
   const unsigned version = parser.get().version();
   const bool keep_alive = parser.get().keep_alive();
   const HttpRequest request = FromBeast(parser.release());
-  std::optional<HttpResponse> answer = this->handler(request);
+  std::optional<HttpResponse> answer = this->Answer(held, request);
   if (!answer) {
     return false;
   }
   BeastResponse response =
-      ToBeast(std::move(*answer), version, keep_alive && !this->draining);
+      ToBeast(std::move(*answer), version,
+              keep_alive && !this->draining && !this->closing);
   connection.stream.expires_after(this->limits.read_timeout);
   const auto written = Await<std::size_t>([&](auto done) {
     http::async_write(connection.stream, response, std::move(done));
@@ -172,4 +209,29 @@
   return written && response.keep_alive();
 }
 
+// Runs the handler, and watches the connection meanwhile if it wants to know.
+std::optional<HttpResponse> HttpServer::Answer(
+    const std::shared_ptr<Connection>& connection,
+    const HttpRequest& request) {
+  if (!this->watchful_handler) {
+    return this->handler(request);
+  }
+  const auto departure = std::make_shared<Departure>();
+  connection->stream.socket().async_wait(
+      tcp::socket::wait_read, [connection, departure](error_code error) {
+        // Bytes to read are the next request: it is read after this answer.
+        if (!error && connection->CallerLeft()) {
+          departure->Announce();
+        }
+      });
+  auto answer = this->watchful_handler(request, *departure);
+  departure->OnLeave([] {});
+  error_code ignored;
+  connection->stream.socket().cancel(ignored);
+  if (departure->left()) {
+    return std::nullopt;
+  }
+  return answer;
+}
+
 }  // namespace tanagerledge
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -19,25 +19,53 @@
 struct HttpLimits {
   std::size_t max_body_bytes = 1024 * 1024;
   std::uint32_t max_header_bytes = 16 * 1024;
-  std::chrono::seconds read_timeout{10};
-  std::chrono::seconds idle_timeout{60};
+  std::chrono::milliseconds read_timeout{10000};
+  std::chrono::milliseconds idle_timeout{60000};
   std::size_t max_connections = 4096;
 };
 
+// Tells a handler that the caller closed its connection before the answer.
+class Departure {
+ public:
+  bool left() const { return this->gone; }
+
+  // Called once when the caller leaves; at once when it has left already. Runs
+  // outside any fiber and must not wait.
+  void OnLeave(std::function<void()> action);
+
+  // The caller has left.
+  void Announce();
+
+ private:
+  bool gone = false;
+  std::function<void()> on_leave;
+};
+
 class HttpServer {
  public:
   // Answers one request; runs in the connection's fiber and may wait. Nothing
   // in place of an answer closes the connection.
   using Handler =
       std::function<std::optional<HttpResponse>(const HttpRequest&)>;
+  // The same, and it learns when its caller leaves.
+  using WatchfulHandler =
+      std::function<std::optional<HttpResponse>(const HttpRequest&,
+                                                Departure&)>;
 
   HttpServer(IoLoop& loop, Handler handler, HttpLimits limits = {});
+  HttpServer(IoLoop& loop, WatchfulHandler handler, HttpLimits limits = {});
   ~HttpServer();
 
   // Accepts on the address; several loops may share it. Returns what was bound.
   tl::expected<boost::asio::ip::tcp::endpoint, AddressError> Accept(
       const boost::asio::ip::tcp::endpoint& endpoint);
 
+  // For requests that are read from now on.
+  void SetLimits(HttpLimits next) { this->limits = next; }
+
+  // Answers from now on end their connection, new connections are still taken.
+  void CloseAfterAnswer() { this->closing = true; }
+
   // No new connections; each open one ends with its next answer, so that a
   // request that is already on its way is still answered.
   void Drain();
@@ -54,14 +82,19 @@
   struct Connection;
 
   void Serve(const std::shared_ptr<Connection>& connection);
-  bool ServeOne(Connection& connection);
+  bool ServeOne(const std::shared_ptr<Connection>& connection);
+  std::optional<HttpResponse> Answer(
+      const std::shared_ptr<Connection>& connection,
+      const HttpRequest& request);
 
   IoLoop& loop;
-  Handler handler;
+  Handler handler;  // One of the two is set.
+  WatchfulHandler watchful_handler;
   HttpLimits limits;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   std::set<std::shared_ptr<Connection>> connections;
   bool draining = false;
+  bool closing = false;
 };
 
 }  // namespace tanagerledge
--- a/src/adapters/peer_transport.cc
+++ b/src/adapters/peer_transport.cc
@@ -1,5 +1,7 @@
 #include "src/adapters/peer_transport.h"
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -24,10 +26,22 @@
 constexpr std::size_t kHeadBytes = 10;  // Channel, kind and id.
 constexpr std::size_t kReadChunkBytes = 16 * 1024;
 constexpr std::size_t kMaxQueuedBytes = 16 * 1024 * 1024;
-constexpr std::chrono::milliseconds kConnectTimeout{1000};
+// A round trip inside a region is a few ms; a lost opening packet is sent again
+// after a second, and the caller's time is better spent on another node.
+constexpr std::chrono::milliseconds kConnectTimeout{400};
+// Unacknowledged bytes end a connection after this time, like silence does.
+constexpr int kUserTimeoutMs = 2000;
+// An incoming connection whose peer says nothing, not even pings, is dead.
+constexpr std::chrono::seconds kIncomingSilence{20};
 constexpr std::chrono::milliseconds kHelloTimeout{3000};
 
-enum class FrameKind : std::uint8_t { kMessage = 0, kRequest = 1, kReply = 2 };
+enum class FrameKind : std::uint8_t {
+  kMessage = 0,
+  kRequest = 1,
+  kReply = 2,
+  kPing = 3,  // Asks for a kPong: a sign of life.
+  kPong = 4,
+};
 
 struct Frame {
   Channel channel = Channel::kHello;
@@ -65,7 +79,7 @@
     return ParseState::kNeedMore;
   }
   if (at[4] >= kChannelCount ||
-      at[5] > static_cast<unsigned char>(FrameKind::kReply)) {
+      at[5] > static_cast<unsigned char>(FrameKind::kPong)) {
     return ParseState::kBad;
   }
   frame.channel = static_cast<Channel>(at[4]);
@@ -76,6 +90,9 @@
   return ParseState::kFrame;
 }
 
+using UserTimeout =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
 using ReplySlot = FiberSlot<tl::expected<std::string, PeerError>>;
 
 // A request that waits; it lives on the stack of the fiber that sent it.
@@ -113,6 +130,7 @@
   void Run() {
     if (this->connected_already || this->Connect()) {
       this->established = true;
+      this->heard = std::chrono::steady_clock::now();
       this->SendHello();
       this->Flush();
       this->ReadFrames();
@@ -150,6 +168,9 @@
       return tl::unexpected(PeerError{PeerErrorKind::kNotSent, "queue closed"});
     }
     const std::uint64_t id = ++this->last_id;
+    if (this->pending.empty()) {
+      this->quiet_since = std::chrono::steady_clock::now();
+    }
     Pending waiting;
     this->pending.emplace(id, &waiting);
     this->Queue({channel, FrameKind::kRequest, id, request});
@@ -170,6 +191,30 @@
   }
 
   const NodeId& Peer() const { return this->peer; }
+  bool IsOpen() const { return this->established && !this->failed; }
+  std::optional<Incarnation> PeerIncarnation() const {
+    return this->peer_incarnation;
+  }
+
+  // Asks a silent peer for a sign of life, and ends the connection without one.
+  void CheckAlive(const LinkWatch& watch, Instant now) {
+    if (!this->IsOpen()) {
+      return;
+    }
+    const bool due = !this->pending.empty();
+    const auto silent = now - std::max(this->heard, this->quiet_since);
+    if (silent > (due ? watch.cut_after : watch.idle_cut_after)) {
+      this->Close();
+    } else if (silent > (due ? watch.ask_after : watch.idle_ask_after)) {
+      this->Queue({Channel::kHello, FrameKind::kPing, 0, {}});
+    }
+  }
+
+  void CloseIfSilent(Instant now) {
+    if (this->IsOpen() && now - this->heard > kIncomingSilence) {
+      this->Close();
+    }
+  }
 
  private:
   static std::size_t Index(Channel channel) {
@@ -202,6 +247,7 @@
   void SendHello() {
     error_code ignored;
     this->socket.set_option(tcp::no_delay(true), ignored);
+    this->socket.set_option(UserTimeout(kUserTimeoutMs), ignored);
     const PeerIdentity& identity = this->transport.identity;
     wire::Hello hello;
     hello.fleet = identity.fleet;
@@ -281,6 +327,7 @@
       if (!read) {
         return;
       }
+      this->heard = std::chrono::steady_clock::now();
       buffer.append(chunk.data(), read.value);
       if (!this->TakeFrames(buffer)) {
         ++this->transport.counters.bad_frames;
@@ -320,6 +367,11 @@
       case FrameKind::kMessage:
         this->TakeMessage(frame);
         return true;
+      case FrameKind::kPing:
+        this->Queue({Channel::kHello, FrameKind::kPong, 0, {}});
+        return true;
+      case FrameKind::kPong:
+        return true;
     }
     return false;
   }
@@ -336,6 +388,8 @@
     this->timer.cancel();
     this->peer = NodeId{hello->node};
     this->peer_zone = Zone{hello->zone};
+    this->peer_incarnation =
+        Incarnation{static_cast<std::uint64_t>(hello->incarnation)};
     this->greeted = true;
     return true;
   }
@@ -396,6 +450,7 @@
 
   NodeId peer;
   Zone peer_zone;
+  std::optional<Incarnation> peer_incarnation;
   PeerTransport& transport;
   tcp::socket socket;
   const bool connected_already;
@@ -403,6 +458,8 @@
   bool established = false;
   bool greeted = false;
   bool failed = false;
+  Instant heard{};        // When bytes came last.
+  Instant quiet_since{};  // When replies became due after none were.
 
   std::deque<QueuedFrame> queued;  // Waits for the write in progress.
   std::size_t queued_bytes = 0;
@@ -466,6 +523,38 @@
   }
 }
 
+void PeerTransport::WatchLinks(LinkWatch watch) {
+  this->loop.Spawn([this, watch] {
+    while (!this->closed && this->loop.SleepFor(watch.tick)) {
+      const Instant now = std::chrono::steady_clock::now();
+      std::ranges::for_each(this->outgoing, [&](const auto& entry) {
+        entry.second->CheckAlive(watch, now);
+      });
+      std::ranges::for_each(this->incoming, [&](const auto& connection) {
+        connection->CloseIfSilent(now);
+      });
+    }
+  });
+}
+
+void PeerTransport::Connect(const NodeId& to) {
+  if (!this->closed) {
+    this->ConnectionTo(to);
+  }
+}
+
+bool PeerTransport::IsConnected(const NodeId& to) const {
+  const auto found = this->outgoing.find(to);
+  return found != this->outgoing.end() && found->second->IsOpen();
+}
+
+std::optional<Incarnation> PeerTransport::IncarnationOf(
+    const NodeId& to) const {
+  const auto found = this->outgoing.find(to);
+  return found == this->outgoing.end() ? std::nullopt
+                                       : found->second->PeerIncarnation();
+}
+
 std::shared_ptr<PeerConnection> PeerTransport::ConnectionTo(const NodeId& to) {
   std::shared_ptr<PeerConnection>& connection = this->outgoing[to];
   if (!connection) {
--- a/src/adapters/peer_transport.h
+++ b/src/adapters/peer_transport.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -56,6 +57,18 @@
   std::atomic<std::uint64_t> connects{0};
 };
 
+// How soon a connection that went silent without a reset is noticed.
+struct LinkWatch {
+  std::chrono::milliseconds tick{250};
+  // Nothing heard for so long while replies are due: the peer is asked for a
+  // sign of life, and cut off when it gives none.
+  std::chrono::milliseconds ask_after{250};
+  std::chrono::milliseconds cut_after{1000};
+  // The same for a connection on which nothing is due.
+  std::chrono::milliseconds idle_ask_after{1500};
+  std::chrono::milliseconds idle_cut_after{4000};
+};
+
 class PeerConnection;
 
 class PeerTransport : public PeerPort {
@@ -70,6 +83,17 @@
   tl::expected<boost::asio::ip::tcp::endpoint, AddressError> Accept(
       const boost::asio::ip::tcp::endpoint& endpoint);
 
+  // Looks after the connections that this node opened, until Close.
+  void WatchLinks(LinkWatch watch);
+
+  // Opens a connection unless there is one, so that the first call need not
+  // wait for it.
+  void Connect(const NodeId& to);
+  // Whether frames to the node would leave at once.
+  bool IsConnected(const NodeId& to) const;
+  // The start of the node at the other end; nothing before its Hello came.
+  std::optional<Incarnation> IncarnationOf(const NodeId& to) const;
+
   // Closes all connections: fibers that wait get kLost or kNotSent.
   void Close();
 
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -5,6 +5,7 @@
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 #include <charconv>
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <optional>
@@ -76,11 +77,48 @@
   return std::nullopt;
 }
 
-Fault TakeSeeds(Settings& settings, const std::string& value) {
+std::vector<std::string> ListOf(const std::string& value) {
   std::vector<std::string> parts;
-  boost::algorithm::split(parts, value, [](char c) { return c == ','; });
-  for (std::string& seed : parts) {
-    boost::algorithm::trim(seed);
+  if (!value.empty()) {
+    boost::algorithm::split(parts, value, [](char c) { return c == ','; });
+  }
+  std::ranges::for_each(
+      parts, [](std::string& part) { boost::algorithm::trim(part); });
+  return parts;
+}
+
+Fault TakeSource(Settings& settings, const std::string& value) {
+  if (value != "notes" && value != "platform") {
+    return "must be notes or platform";
+  }
+  settings.source =
+      value == "notes" ? ConfigSource::kNotes : ConfigSource::kPlatform;
+  return std::nullopt;
+}
+
+// Addresses of the seeds for other purposes: only their hosts count. The port
+// is put in once the node's own address is known.
+Fault TakeSeedHosts(Settings& settings, const std::string& value) {
+  for (const std::string& seed : ListOf(value)) {
+    NodeId node;
+    if (const Fault fault = TakeAddress(node.value, seed)) {
+      return fault;
+    }
+    settings.seeds.push_back(std::move(node));
+  }
+  return std::nullopt;
+}
+
+Fault TakeReadiness(Settings& settings, const std::string& value) {
+  return TakeAddress(settings.readiness_address, value);
+}
+
+Fault TakeService(Settings& settings, const std::string& value) {
+  return TakeText(settings.service.value, value);
+}
+
+Fault TakeSeeds(Settings& settings, const std::string& value) {
+  for (const std::string& seed : ListOf(value)) {
     NodeId node;
     if (const Fault fault = TakeAddress(node.value, seed)) {
       return fault;
@@ -129,12 +167,16 @@
   Fault (*take)(Settings&, const std::string&);
 };
 
-constexpr std::array<KeySpec, 11> kKeys = {{
+constexpr std::array<KeySpec, 15> kKeys = {{
+    {"node", "source", false, &TakeSource},
     {"node", "fleet", true, &TakeFleet},
     {"node", "address", true, &TakeNodeAddress},
     {"node", "zone", true, &TakeZone},
     {"node", "workers", false, &TakeWorkers},
     {"node", "seeds", false, &TakeSeeds},
+    {"node", "seed_hosts", false, &TakeSeedHosts},
+    {"readiness", "address", false, &TakeReadiness},
+    {"back_end", "service", false, &TakeService},
     {"front", "address", true, &TakeFront},
     {"admin", "address", true, &TakeAdmin},
     {"log", "address", true, &TakeLog},
@@ -144,6 +186,36 @@
 }};
 
 constexpr std::string_view kDelaysSection = "delays";
+constexpr std::string_view kBoundsSection = "bounds";
+
+// Bounds come as plain numbers; the unit is in the name.
+struct BoundSpec {
+  std::string_view key;
+  void (*take)(FleetBounds&, double);
+};
+
+std::chrono::milliseconds Milliseconds(double count) {
+  return std::chrono::milliseconds(static_cast<std::int64_t>(count));
+}
+
+constexpr double kMillisecondsInSecond = 1000;
+
+constexpr std::array<BoundSpec, 5> kBounds = {{
+    {"drain_ms", [](FleetBounds& bounds,
+                    double value) { bounds.drain = Milliseconds(value); }},
+    {"grace_s",
+     [](FleetBounds& bounds, double value) {
+       bounds.grace = Milliseconds(value * kMillisecondsInSecond);
+     }},
+    {"retry_budget_ratio",
+     [](FleetBounds& bounds, double value) { bounds.retry_ratio = value; }},
+    {"budget_extra_retries",
+     [](FleetBounds& bounds, double value) { bounds.extra_retries = value; }},
+    {"budget_window_s",
+     [](FleetBounds& bounds, double value) {
+       bounds.retry_window = Milliseconds(value * kMillisecondsInSecond);
+     }},
+}};
 
 // Reading -------------------------------------------------------------------
 
@@ -155,6 +227,8 @@
       this->TakeSection(section);
     }
     this->CheckRequired();
+    this->CheckPlatform();
+    this->GiveSeedsOwnPort();
     if (!this->faults.empty()) {
       std::ranges::stable_sort(this->faults, {}, &TextFault::line);
       return tl::unexpected(std::move(this->faults));
@@ -165,6 +239,7 @@
  private:
   void TakeSection(const IniSection& section) {
     const bool known = section.name == kDelaysSection ||
+                       section.name == kBoundsSection ||
                        std::ranges::find(kKeys, section.name,
                                          &KeySpec::section) != kKeys.end();
     if (!known) {
@@ -182,6 +257,10 @@
       this->TakeDelay(entry);
       return;
     }
+    if (section == kBoundsSection) {
+      this->TakeBound(entry);
+      return;
+    }
     const auto spec = std::ranges::find_if(kKeys, [&](const KeySpec& key) {
       return key.section == section && key.key == entry.key;
     });
@@ -209,6 +288,51 @@
     this->settings.delays[Zone{entry.key}] = *time;
   }
 
+  void TakeBound(const IniEntry& entry) {
+    const auto spec = std::ranges::find(kBounds, entry.key, &BoundSpec::key);
+    if (spec == kBounds.end()) {
+      return;  // The platform has bounds that are none of this node's concern.
+    }
+    constexpr double kMost = 1e9;
+    char* end = nullptr;
+    const double value = std::strtod(entry.value.c_str(), &end);
+    const bool whole = !entry.value.empty() && *end == '\0';
+    if (!whole || !(value >= 0 && value <= kMost)) {
+      this->faults.push_back(
+          {entry.line, entry.key + ": must be a number from 0 to 1e9"});
+      return;
+    }
+    spec->take(this->settings.bounds, value);
+  }
+
+  // All nodes of a fleet use one port among themselves.
+  void GiveSeedsOwnPort() {
+    const auto port = this->settings.address.value.rfind(':');
+    const bool by_host = this->seen.contains(
+        &*std::ranges::find(kKeys, "seed_hosts", &KeySpec::key));
+    if (!by_host || port == std::string::npos) {
+      return;
+    }
+    std::ranges::for_each(this->settings.seeds, [&](NodeId& seed) {
+      seed.value = seed.value.substr(0, seed.value.rfind(':')) +
+                   this->settings.address.value.substr(port);
+    });
+  }
+
+  void CheckPlatform() {
+    if (this->settings.source != ConfigSource::kPlatform) {
+      return;
+    }
+    if (this->settings.readiness_address.empty()) {
+      this->faults.push_back(
+          {0, "'address' in [readiness] is missing: source is platform"});
+    }
+    if (this->settings.service.value.empty()) {
+      this->faults.push_back(
+          {0, "'service' in [back_end] is missing: source is platform"});
+    }
+  }
+
   void CheckRequired() {
     for (const KeySpec& spec : kKeys) {
       if (spec.required && !this->seen.contains(&spec)) {
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -18,13 +18,33 @@
 
 namespace tanagerledge {
 
+// Where the configuration comes from.
+enum class ConfigSource {
+  kNotes,     // Release notes, published to the log.
+  kPlatform,  // The platform's operator, through the platform's store.
+};
+
+// Bounds that the whole fleet keeps. They come from the platform with names of
+// its own and in plain numbers; names that are not known are ignored.
+struct FleetBounds {
+  // From the acknowledgement of a leaving back end to the last call sent there.
+  std::chrono::milliseconds drain{2000};
+  // From SIGTERM to SIGKILL.
+  std::chrono::milliseconds grace{6000};
+  // Retries for each request, and more of them in a window for the whole fleet.
+  double retry_ratio = 0.2;
+  double extra_retries = 10;
+  std::chrono::milliseconds retry_window{10000};
+};
+
 struct Settings {
   // [node]
+  ConfigSource source = ConfigSource::kNotes;
   std::string fleet;
   NodeId address;  // Where peers reach this node: ip:port.
   Zone zone;
-  int workers = 2;  // Threads on the path of a call.
-  std::vector<NodeId> seeds;
+  int workers = 2;            // Threads on the path of a call.
+  std::vector<NodeId> seeds;  // With seed_hosts: at this node's own port.
 
   // [front]
   std::string front_address;  // Where callers come in: ip:port.
@@ -32,6 +52,12 @@
   // [admin]
   std::string admin_address;  // Back end, operators and metrics: ip:port.
 
+  // [readiness], with source = platform only
+  std::string readiness_address;  // Where the platform asks: ip:port.
+
+  // [back_end], with source = platform only
+  ServiceName service;  // Of the back end beside this node.
+
   // [log]
   std::string log_address;  // The platform's log: ip:port.
 
@@ -44,6 +70,9 @@
   // [shutdown]
   std::chrono::milliseconds drain_timeout{10000};
 
+  // [bounds]
+  FleetBounds bounds;
+
   // [delays]: zone = time. Added to frames sent there; experiments only.
   std::map<Zone, std::chrono::microseconds> delays;
 };
--- a/src/adapters/stop_signal.h
+++ b/src/adapters/stop_signal.h
@@ -1,5 +1,5 @@
-// Waits for SIGTERM or SIGINT. Make it before any thread starts: the signals
-// stay blocked in all threads, so no handler runs amid other code.
+// Waits for SIGTERM, SIGINT or SIGHUP. Make it before any thread starts: the
+// signals stay blocked in all threads, so no handler runs amid other code.
 
 #ifndef TANAGERLEDGE_SRC_ADAPTERS_STOP_SIGNAL_H_
 #define TANAGERLEDGE_SRC_ADAPTERS_STOP_SIGNAL_H_
@@ -8,12 +8,14 @@
 
 namespace tanagerledge {
 
+enum class SignalKind { kStop, kReload };
+
 class StopSignal {
  public:
   StopSignal();
 
   // Blocks the calling thread until one of the signals has come.
-  void Wait() const;
+  SignalKind Wait() const;
 
  private:
   sigset_t signals{};
--- /dev/null
+++ b/src/admission/slot_queue.cc
@@ -0,0 +1,233 @@
+#include "tanagerledge/slot_queue.h"
+
+#include <algorithm>
+#include <functional>
+#include <iterator>
+#include <queue>
+#include <utility>
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+// Weight of one observation in a running mean: about the last 16 calls, half a
+// second of work at a back end of 13 slots and 80 ms.
+constexpr double kMeanWeight = 1.0 / 16;
+constexpr double kFailingWeight = 1.0 / 32;
+// A call that has run longer than its estimate is expected to take this part of
+// the estimate more: work times have a long tail.
+constexpr double kOverrunShare = 0.25;
+// No estimate is below this, so that a promised return is never immediate.
+constexpr microseconds kLeastWait{10'000};
+
+microseconds Scaled(microseconds time, double by) {
+  return microseconds(
+      static_cast<microseconds::rep>(static_cast<double>(time.count()) * by));
+}
+
+}  // namespace
+
+// Expected ends of slots ------------------------------------------------------
+
+class SlotQueue::SlotEnds {
+ public:
+  SlotEnds(std::vector<Instant> ends, std::size_t slot_count, Instant now) {
+    ends.resize(std::max(ends.size(), slot_count), now);
+    this->heap = Heap(std::greater<>(), std::move(ends));
+    // More calls than slots run after the back end announced fewer slots: the
+    // extra ends free nothing.
+    while (this->heap.size() > std::max<std::size_t>(1, slot_count)) {
+      this->heap.pop();
+    }
+  }
+
+  Instant Earliest() const { return this->heap.top(); }
+
+  // Takes the earliest slot for a call; when the call will end.
+  Instant Take(microseconds work) {
+    const Instant end = this->heap.top() + work;
+    this->heap.pop();
+    this->heap.push(end);
+    return end;
+  }
+
+ private:
+  using Heap =
+      std::priority_queue<Instant, std::vector<Instant>, std::greater<>>;
+  Heap heap;
+};
+
+SlotQueue::SlotEnds SlotQueue::EndsOfRunning(Instant now) const {
+  std::vector<Instant> ends;
+  ends.reserve(this->started.size());
+  std::ranges::transform(
+      this->started, std::back_inserter(ends), [&](const auto& entry) {
+        const Running& call = entry.second;
+        const microseconds work = this->Estimate(call.work);
+        return std::max(call.since + work, now + Scaled(work, kOverrunShare));
+      });
+  return {std::move(ends), static_cast<std::size_t>(this->slots), now};
+}
+
+Instant SlotQueue::PredictStart(const Order& order, Instant now) const {
+  SlotEnds ends = this->EndsOfRunning(now);
+  const auto first_behind = this->queue.lower_bound(order);
+  std::for_each(this->queue.begin(), first_behind, [&](const auto& entry) {
+    ends.Take(this->Estimate(entry.second.work));
+  });
+  return ends.Earliest();
+}
+
+// Estimates -------------------------------------------------------------------
+
+microseconds SlotQueue::Estimate(const std::string& work) const {
+  const auto found = this->estimates.find(work);
+  return found == this->estimates.end() ? this->overall : found->second;
+}
+
+void SlotQueue::Learn(const std::string& work, microseconds took) {
+  const auto learn = [took](microseconds& mean) {
+    mean = mean.count() == 0 ? took : mean + Scaled(took - mean, kMeanWeight);
+  };
+  learn(this->estimates[work]);
+  learn(this->overall);
+}
+
+// Events ----------------------------------------------------------------------
+
+SlotActions SlotQueue::OnSlots(int count, Instant now) {
+  this->slots = count;
+  SlotActions out;
+  this->Fill(now, out);
+  return out;
+}
+
+SlotQueue::Order SlotQueue::OrderOf(const SlotRequest& request, Instant now) {
+  Order order;
+  order.not_nested = !request.nested;
+  order.priority = request.priority;
+  order.newcomer = !request.returning;
+  order.arrival = ++this->arrivals;
+  const microseconds work = this->Estimate(request.work);
+  order.late = this->PredictStart(order, now) + work > request.target;
+  return order;
+}
+
+SlotActions SlotQueue::Offer(const SlotRequest& request, Instant now) {
+  const Order order = this->OrderOf(request, now);
+  const microseconds work = this->Estimate(request.work);
+  const Instant start = this->PredictStart(order, now);
+  if (this->slots == 0 || start + work > request.deadline) {
+    const auto wait = std::chrono::duration_cast<microseconds>(start - now);
+    return {
+        TurnAway{request.id, Reason::kOverloaded, std::max(kLeastWait, wait)}};
+  }
+  this->queue.emplace(order, request);
+  this->waiting_order.emplace(request.id, order);
+  SlotActions out;
+  this->Fill(now, out);
+  return out;
+}
+
+SlotActions SlotQueue::OnFinished(std::uint64_t id,
+                                  FinishKind kind,
+                                  Instant now) {
+  SlotActions out;
+  const auto found = this->started.find(id);
+  if (found == this->started.end()) {
+    return out;
+  }
+  if (kind == FinishKind::kOk) {
+    this->Learn(found->second.work, std::chrono::duration_cast<microseconds>(
+                                        now - found->second.since));
+  }
+  const double failed = kind == FinishKind::kOk ? 0.0 : 1.0;
+  this->failing += (failed - this->failing) * kFailingWeight;
+  this->started.erase(found);
+  this->Fill(now, out);
+  return out;
+}
+
+SlotActions SlotQueue::OnCancel(std::uint64_t id) {
+  const auto found = this->waiting_order.find(id);
+  if (found == this->waiting_order.end()) {
+    return {};
+  }
+  this->queue.erase(found->second);
+  this->waiting_order.erase(found);
+  return {TurnAway{id, Reason::kDeadline, microseconds{0}}};
+}
+
+SlotActions SlotQueue::Flush(Reason reason) {
+  SlotActions out;
+  std::ranges::transform(this->queue, std::back_inserter(out),
+                         [reason](const auto& entry) {
+                           return TurnAway{entry.second.id, reason, kLeastWait};
+                         });
+  this->queue.clear();
+  this->waiting_order.clear();
+  return out;
+}
+
+SlotActions SlotQueue::OnTick(Instant now) {
+  SlotActions out;
+  if (this->queue.empty()) {
+    return out;
+  }
+  // One walk in the order in which the calls will start. What has become late
+  // moves behind and is judged there by a later tick.
+  SlotEnds ends = this->EndsOfRunning(now);
+  std::vector<std::pair<Order, SlotRequest>> moved;
+  std::erase_if(this->queue, [&](const auto& entry) {
+    const auto& [order, request] = entry;
+    const microseconds work = this->Estimate(request.work);
+    const Instant end = ends.Earliest() + work;
+    if (end > request.deadline) {
+      this->waiting_order.erase(request.id);
+      out.push_back(TurnAway{request.id, Reason::kOverloaded, kLeastWait});
+      return true;
+    }
+    if (!order.late && end > request.target) {
+      moved.emplace_back(order, request);
+      return true;
+    }
+    ends.Take(work);
+    return false;
+  });
+  std::ranges::for_each(moved, [this](auto& entry) {
+    entry.first.late = true;
+    this->waiting_order[entry.second.id] = entry.first;
+    this->queue.emplace(entry.first, std::move(entry.second));
+  });
+  return out;
+}
+
+void SlotQueue::Fill(Instant now, SlotActions& out) {
+  while (!this->queue.empty() &&
+         this->started.size() < static_cast<std::size_t>(this->slots)) {
+    const auto first = this->queue.begin();
+    const SlotRequest& request = first->second;
+    this->waiting_order.erase(request.id);
+    if (now >= request.deadline) {
+      out.push_back(TurnAway{request.id, Reason::kDeadline, kLeastWait});
+    } else {
+      this->started.emplace(request.id, Running{request.work, now});
+      out.push_back(StartCall{request.id});
+    }
+    this->queue.erase(first);
+  }
+}
+
+LoadReport SlotQueue::Report() const {
+  LoadReport report;
+  report.limit = this->slots;
+  report.running = static_cast<int>(this->started.size());
+  report.queued = static_cast<int>(this->queue.size());
+  report.service_time = this->overall;
+  report.failing_permille = static_cast<int>(this->failing * 1000);
+  return report;
+}
+
+}  // namespace tanagerledge
--- /dev/null
+++ b/src/distribution/config_follower.cc
@@ -0,0 +1,83 @@
+#include "tanagerledge/config_follower.h"
+
+#include <algorithm>
+
+namespace tanagerledge {
+
+FollowActions ConfigFollower::Tick(Instant now) {
+  FollowActions out;
+  if (!this->reading && now >= this->next_read) {
+    this->reading = true;
+    if (this->next) {
+      out.emplace_back(ReadConfigRecords{*this->next, this->config.wait});
+    } else {
+      out.emplace_back(ReadNewestConfig{});
+    }
+  }
+  const bool needs_peer = this->failures > 0 || this->heard_of_newer;
+  if (needs_peer && !this->asking && now >= this->next_ask) {
+    this->asking = true;
+    this->next_ask = now + this->config.peer_interval;
+    out.emplace_back(AskPeerForConfig{});
+  }
+  return out;
+}
+
+void ConfigFollower::OnStoreAnswered() {
+  this->reading = false;
+  this->failures = 0;
+}
+
+void ConfigFollower::OnNewest(LogOffset end, Instant now) {
+  this->OnStoreAnswered();
+  this->next = end;
+  this->next_read = now;
+  // Before the operator's first write there is nothing to read on from but the
+  // end, and nothing to serve.
+}
+
+void ConfigFollower::OnRecords(LogOffset from, Instant now) {
+  this->OnStoreAnswered();
+  this->next = from;
+  this->next_read = now;
+}
+
+void ConfigFollower::OnStoreError(LogErrorKind kind, Instant now) {
+  this->reading = false;
+  if (kind == LogErrorKind::kExpired || kind == LogErrorKind::kRefused) {
+    // The records are gone, but the newest of a key is kept for good.
+    this->next.reset();
+  }
+  if (kind == LogErrorKind::kExpired) {
+    this->next_read = now;
+    return;
+  }
+  constexpr int kMostDoublings = 8;
+  const int doublings = std::min(this->failures, kMostDoublings);
+  const auto pause = std::min(this->config.retry * (1 << doublings),
+                              this->config.longest_retry);
+  ++this->failures;
+  this->next_read = now + pause;
+}
+
+void ConfigFollower::OnPeerAnswered(Instant) {
+  this->asking = false;
+  this->heard_of_newer = false;
+}
+
+void ConfigFollower::OnPeerVersion(std::uint64_t version, Instant now) {
+  if (!this->in_force || version > *this->in_force) {
+    this->heard_of_newer = true;
+    this->next_ask = std::min(this->next_ask, now);
+  }
+}
+
+bool ConfigFollower::Take(std::uint64_t version) {
+  if (this->in_force && version <= *this->in_force) {
+    return false;
+  }
+  this->in_force = version;
+  return true;
+}
+
+}  // namespace tanagerledge
--- /dev/null
+++ b/src/execution/attempt_ledger.cc
@@ -0,0 +1,69 @@
+#include "tanagerledge/attempt_ledger.h"
+
+#include <utility>
+
+namespace tanagerledge {
+namespace {
+
+// An entry outlives its attempt's deadline by the longest time that a message
+// may be under way between two nodes whose link is cut and heals.
+constexpr std::chrono::milliseconds kKeptAfterDeadline{1000};
+
+}  // namespace
+
+AttemptState AttemptLedger::OnRun(const std::string& attempt,
+                                  Instant deadline) {
+  const auto found = this->entries.find(attempt);
+  if (found != this->entries.end()) {
+    return found->second.state;
+  }
+  this->Add(attempt, AttemptState::kRunning, deadline);
+  return AttemptState::kNew;
+}
+
+void AttemptLedger::OnDone(const std::string& attempt, KeptReply reply) {
+  const auto found = this->entries.find(attempt);
+  if (found != this->entries.end()) {
+    found->second.state = AttemptState::kDone;
+    found->second.reply = std::move(reply);
+  }
+}
+
+AttemptState AttemptLedger::OnAsk(const std::string& attempt,
+                                  Instant deadline) {
+  const auto found = this->entries.find(attempt);
+  if (found != this->entries.end()) {
+    return found->second.state;
+  }
+  this->Add(attempt, AttemptState::kVoid, deadline);
+  return AttemptState::kNew;
+}
+
+KeptReply AttemptLedger::ReplyOf(const std::string& attempt) const {
+  const auto found = this->entries.find(attempt);
+  return found == this->entries.end() ? nullptr : found->second.reply;
+}
+
+void AttemptLedger::Expire(Instant now) {
+  auto next = this->by_expiry.begin();
+  while (next != this->by_expiry.end() && next->first < now) {
+    const auto found = this->entries.find(next->second);
+    if (found != this->entries.end() &&
+        found->second.state == AttemptState::kRunning) {
+      // Still at the back end past its deadline: look again later.
+      this->by_expiry.emplace(now + kKeptAfterDeadline, next->second);
+    } else if (found != this->entries.end()) {
+      this->entries.erase(found);
+    }
+    next = this->by_expiry.erase(next);
+  }
+}
+
+void AttemptLedger::Add(const std::string& attempt,
+                        AttemptState state,
+                        Instant deadline) {
+  this->entries.emplace(attempt, Entry{state, nullptr});
+  this->by_expiry.emplace(deadline + kKeptAfterDeadline, attempt);
+}
+
+}  // namespace tanagerledge
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -1132,6 +1132,16 @@
   s.rumors.Push(kSelfSlot, true);
 }
 
+void Membership::AddSeeds(const std::vector<NodeId>& seeds, Instant now) {
+  State& s = *this->state;
+  std::ranges::copy_if(
+      seeds, std::back_inserter(s.config.seeds), [&s](const NodeId& seed) {
+        return std::ranges::find(s.config.seeds, seed) == s.config.seeds.end();
+      });
+  s.join_retry = kJoinRetry;
+  s.next_join = now;
+}
+
 MembershipActions Membership::Leave(Instant now) {
   constexpr std::size_t kFarewells = 8;
   State& s = *this->state;
--- a/src/node/back_end_link.cc
+++ b/src/node/back_end_link.cc
@@ -12,6 +12,11 @@
 // bounds those kept idle by one worker.
 constexpr std::size_t kMaxIdleConnections = 16;
 constexpr std::size_t kMaxAnswerBytes = 2 * 1024 * 1024;
+// Back ends close idle connections after some 10 s and mostly say so; one that
+// says nothing is not trusted longer than this.
+constexpr std::chrono::milliseconds kMaxIdleTime{4000};
+// The back end is on the same machine: a connection takes about 1 ms.
+constexpr std::chrono::milliseconds kConnectTimeout{500};
 
 }  // namespace
 
@@ -26,6 +31,8 @@
   HttpClientOptions options;
   options.max_idle_connections = kMaxIdleConnections;
   options.max_body_bytes = kMaxAnswerBytes;
+  options.max_idle_time = kMaxIdleTime;
+  options.connect_timeout = kConnectTimeout;
   this->client = std::make_shared<HttpClient>(this->loop, *address, options);
   this->connected_to = back_end;
   return this->client;
@@ -34,12 +41,13 @@
 tl::expected<HttpResponse, HttpError> BackEndLink::Send(
     const BackEndId& back_end,
     const HttpRequest& request,
-    std::chrono::milliseconds timeout) {
+    std::chrono::milliseconds timeout,
+    const ExchangeOptions& exchange) {
   const std::shared_ptr<HttpClient> held = this->ClientFor(back_end);
   if (!held) {
     return tl::unexpected(HttpError{false, "no address"});
   }
-  return held->Send(request, timeout);
+  return held->Send(request, timeout, exchange);
 }
 
 bool BackEndLink::Listens(const BackEndId& back_end) {
--- a/src/node/back_end_link.h
+++ b/src/node/back_end_link.h
@@ -18,9 +18,11 @@
   explicit BackEndLink(IoLoop& worker_loop) : loop(worker_loop) {}
 
   // Sends one request and waits for its answer. Never sends it twice.
-  tl::expected<HttpResponse, HttpError> Send(const BackEndId& back_end,
-                                             const HttpRequest& request,
-                                             std::chrono::milliseconds timeout);
+  tl::expected<HttpResponse, HttpError> Send(
+      const BackEndId& back_end,
+      const HttpRequest& request,
+      std::chrono::milliseconds timeout,
+      const ExchangeOptions& exchange = {});
 
   // Whether anything listens at the back end's address: false is proof of the
   // contrary, so a timeout counts as true.
--- a/src/node/call_messages.cc
+++ b/src/node/call_messages.cc
@@ -104,6 +104,7 @@
   report.queued = load.queued;
   report.admission_level = load.admission_level;
   report.service_time_us = load.service_time.count();
+  report.failing_permille = load.failing_permille;
   return report;
 }
 
@@ -115,6 +116,7 @@
   load.admission_level = report.admission_level;
   load.service_time = std::chrono::microseconds(
       std::max<std::int64_t>(report.service_time_us, 0));
+  load.failing_permille = std::clamp(report.failing_permille, 0, 1000);
   return load;
 }
 
--- a/src/node/membership_host.cc
+++ b/src/node/membership_host.cc
@@ -149,6 +149,10 @@
   this->Perform(this->machine.Leave(Now()));
 }
 
+void MembershipHost::AddSeeds(const std::vector<NodeId>& seeds) {
+  this->machine.AddSeeds(seeds, Now());
+}
+
 void MembershipHost::SetInForce(ReleaseNumber release) {
   this->machine.SetInForce(release);
 }
--- a/src/node/membership_host.h
+++ b/src/node/membership_host.h
@@ -66,6 +66,8 @@
   void Drain();
   void Leave();
   void SetInForce(ReleaseNumber release);
+  // More nodes to join by, learned after the start.
+  void AddSeeds(const std::vector<NodeId>& seeds);
 
   // Answers a frame on Channel::kMembership or Channel::kReach.
   std::string OnPeerRequest(const NodeId& from, std::string_view bytes);
--- /dev/null
+++ b/src/sidecar/config_host.h
@@ -0,0 +1,64 @@
+// Keeps the newest configuration of the operator in force on this node.
+//
+// Wires ConfigFollower to the store and to the other nodes.
+
+#ifndef TANAGERLEDGE_SRC_SIDECAR_CONFIG_HOST_H_
+#define TANAGERLEDGE_SRC_SIDECAR_CONFIG_HOST_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/adapters/event_log.h"
+#include "src/adapters/fiber_io.h"
+#include "src/adapters/peer_transport.h"
+#include "src/sidecar/platform_port.h"
+#include "tanagerledge/config_follower.h"
+#include "tanagerledge/member.h"
+#include "tanagerledge/ports.h"
+
+namespace tanagerledge {
+
+class ConfigHost {
+ public:
+  // Gets each configuration that comes into force.
+  using Sink = std::function<void(std::shared_ptr<const MeshConfig>)>;
+
+  ConfigHost(IoLoop& loop,
+             PeerTransport& peers,
+             KeyedLogPort& store,
+             const PlatformPort& platform,
+             EventLog& events,
+             Sink sink);
+
+  // Every 20 ms or so.
+  void OnTick();
+  void SetMembers(const std::vector<Member>& members, const NodeId& self);
+
+  // Another node asks for anything newer than it has.
+  std::string OnPeerQuestion(std::string_view question) const;
+
+ private:
+  void Do(const ReadNewestConfig& action);
+  void Do(const ReadConfigRecords& action);
+  void Do(const AskPeerForConfig& action);
+  void OnStoreError(const LogError& error);
+  void Offer(std::string content, std::string_view source);
+
+  IoLoop& loop;
+  PeerTransport& peers;
+  KeyedLogPort& store;
+  const PlatformPort& platform;
+  EventLog& events;
+  Sink sink;
+  ConfigFollower follower;
+  std::string content;  // In force, as the store holds it.
+  std::vector<NodeId> others;
+  bool store_was_answering = true;
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_SRC_SIDECAR_CONFIG_HOST_H_
--- /dev/null
+++ b/src/sidecar/mesh_entry.cc
@@ -0,0 +1,327 @@
+#include "src/sidecar/mesh_entry.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/adapters/codec.h"
+#include "src/node/call_messages.h"
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+// A caller that does not say how long it waits gets the route's time-out; this
+// is for a route without one.
+constexpr milliseconds kDefaultPatience{10'000};
+// The owner answers at the deadline; its reply needs this long to come back.
+constexpr milliseconds kReplyMargin{60};
+// Nodes that turned a call away without running it, before the caller hears of
+// it: each costs a round trip, and the second best place is mostly full too.
+constexpr std::size_t kMostOffers = 3;
+// A call that lost its link is asked for this long at most at a time.
+constexpr milliseconds kAskPause{20};
+constexpr int kMostAsks = 4;
+constexpr int kServerErrorStatus = 500;
+
+Instant Now() {
+  return std::chrono::steady_clock::now();
+}
+
+RankName RankOf(int priority) {
+  return {"p" + std::to_string(priority)};
+}
+
+}  // namespace
+
+// One request on its way through the entry.
+struct MeshEntry::Call {
+  Instant arrived{};
+  Instant deadline{};
+  Instant target{};
+  std::shared_ptr<const MeshConfig> mesh;
+  const MeshRoute* route = nullptr;
+  wire::CallRequest message;
+  std::vector<NodeId> tried;
+  int offers = 0;    // Nodes that the call was sent to.
+  int attempts = 1;  // Back ends that it may have reached, and the next.
+  std::optional<NodeId> at;             // Where it is now.
+  std::optional<Incarnation> at_start;  // The start of that node.
+  // The last reply of a back end that may have run the call. From then on the
+  // caller is never told that it has not run.
+  std::optional<wire::CallReply> ran;
+  bool left = false;  // Its caller has gone.
+};
+
+MeshEntry::MeshEntry(MeshEntryConfig entry_config,
+                     const PlatformPort& platform_port,
+                     PeerTransport& peer_transport,
+                     Owner& own_owner,
+                     EventLog& event_log,
+                     CallMetrics& call_metrics,
+                     FleetRetryConfig retry_config)
+    : config(std::move(entry_config)),
+      platform(platform_port),
+      peers(peer_transport),
+      owner(own_owner),
+      events(event_log),
+      metrics(call_metrics),
+      split(this->config.incarnation.value),
+      placement(this->config.self, this->config.zone),
+      retries(retry_config) {}
+
+void MeshEntry::SetConfig(std::shared_ptr<const MeshConfig> next) {
+  this->mesh = std::move(next);
+}
+
+void MeshEntry::SetEndpoints(const std::vector<Endpoint>& endpoints) {
+  this->placement.SetEndpoints(endpoints);
+}
+
+// A request -------------------------------------------------------------------
+
+std::optional<HttpResponse> MeshEntry::Handle(const HttpRequest& request,
+                                              Departure& departure) {
+  const auto caller = this->platform.ReadCaller(request);
+  if (!caller) {
+    this->events.Write("bad request", {{"error", caller.error()}});
+    return this->platform.ToCaller({Outcome::kNotRun, Reason::kBadRequest});
+  }
+  if (!this->mesh) {
+    return this->platform.ToCaller(
+        {Outcome::kNotRun, Reason::kNodeNotReady, milliseconds(200)});
+  }
+  const auto call = std::make_shared<Call>();
+  call->mesh = this->mesh;
+  call->route = call->mesh->Match(caller->host, request.target);
+  if (call->route == nullptr) {
+    this->events.Write("no route", {{"id", caller->attempt_id},
+                                    {"host", caller->host},
+                                    {"target", request.target}});
+    return this->platform.ToCaller({Outcome::kNotRun, Reason::kNoRoute});
+  }
+  const MeshRoute& route = *call->route;
+  call->arrived = Now();
+  milliseconds longest = caller->patience.value_or(kDefaultPatience);
+  if (route.timeout.count() > 0) {
+    longest = std::min(longest, route.timeout);
+  }
+  call->deadline = call->arrived + longest;
+  call->target = call->arrived + std::min(longest, route.target);
+  wire::CallRequest& message = call->message;
+  message.service_name = this->split.Next(route).value;
+  message.customer = this->config.caller.value;
+  message.method = request.method;
+  message.target = request.target;
+  message.headers = caller->headers;
+  message.body = request.body;
+  message.idempotent = route.idempotent;
+  message.attempt_id = caller->attempt_id;
+  message.route = route.name.value;
+  message.priority = route.priority;
+  message.nested = caller->nested;
+  message.release = static_cast<std::int64_t>(call->mesh->version());
+  departure.OnLeave([this, call] { this->Leave(*call); });
+  ++this->in_progress;
+  wire::CallReply reply = this->RunAttempts(*call);
+  --this->in_progress;
+  return this->Finish(*call, reply);
+}
+
+void MeshEntry::Leave(Call& call) {
+  call.left = true;
+  if (!call.at) {
+    return;
+  }
+  if (*call.at == this->config.self) {
+    this->owner.Cancel(call.message.send_id);
+    return;
+  }
+  wire::SendCancel cancel;
+  cancel.send_id = call.message.send_id;
+  this->peers.Send(*call.at, Channel::kSend, Encode(cancel));
+}
+
+HttpResponse MeshEntry::Finish(const Call& call, wire::CallReply& reply) {
+  const Outcome outcome = OutcomeOf(reply);
+  const Reason reason = ReasonOf(reply);
+  const auto took = duration_cast<microseconds>(Now() - call.arrived);
+  this->metrics.Count(RankOf(call.route->priority), outcome, reason, took);
+  if (outcome == Outcome::kOk) {
+    HttpResponse response;
+    response.status = reply.status;
+    response.body = std::move(reply.body);
+    std::ranges::transform(
+        reply.headers, std::back_inserter(response.headers),
+        [](wire::Header& header) {
+          return HttpHeader{std::move(header.name), std::move(header.value)};
+        });
+    return response;
+  }
+  this->events.Write(
+      outcome == Outcome::kNotRun ? "refused" : "failed",
+      {{"id", call.message.attempt_id},
+       {"route", call.message.route},
+       {"service", call.message.service_name},
+       {"reason", ToText(reason)},
+       {"detail", reply.detail},
+       {"offers", std::int64_t{call.offers}},
+       {"took_ms", took.count() / 1000},
+       {"left_ms", duration_cast<milliseconds>(call.deadline - Now()).count()},
+       {"room_in_ms", reply.room_in_us / 1000},
+       {"version", static_cast<std::int64_t>(call.mesh->version())}});
+  return this->platform.ToCaller(
+      {outcome, reason, microseconds(reply.room_in_us)});
+}
+
+// Attempts --------------------------------------------------------------------
+
+wire::CallReply MeshEntry::RunAttempts(Call& call) {
+  const ServiceName service{call.message.service_name};
+  this->retries.OnRequest(service, Now());
+  wire::CallReply reply = MakeReply(Outcome::kNotRun, Reason::kNoEndpoint,
+                                    "no endpoint of the service is known");
+  reply.room_in_us = microseconds(milliseconds(100)).count();
+  while (!call.left) {
+    const Instant now = Now();
+    PlacementAsk ask;
+    ask.service = service;
+    ask.tried = call.tried;
+    ask.target = std::max(microseconds{0},
+                          duration_cast<microseconds>(call.target - now));
+    const auto node = this->placement.Choose(ask, now);
+    if (!node || now >= call.deadline) {
+      break;
+    }
+    wire::CallReply next = this->Attempt(call, *node);
+    const bool sooner_before = call.offers > 1 && reply.room_in_us > 0 &&
+                               reply.room_in_us < next.room_in_us;
+    if (sooner_before) {
+      next.room_in_us = reply.room_in_us;
+    }
+    reply = std::move(next);
+    if (!this->MayTryElsewhere(call, reply)) {
+      break;
+    }
+    if (OutcomeOf(reply) != Outcome::kNotRun) {
+      call.ran = reply;
+    }
+  }
+  const bool nothing_better = call.ran && OutcomeOf(reply) == Outcome::kNotRun;
+  return nothing_better ? std::move(*call.ran) : std::move(reply);
+}
+
+// Refusals that reached no back end are free to go elsewhere. Anything that may
+// have reached one draws on the fleet's budget, and on the route's attempts.
+bool MeshEntry::MayTryElsewhere(Call& call, const wire::CallReply& reply) {
+  const Outcome outcome = OutcomeOf(reply);
+  const Reason reason = ReasonOf(reply);
+  const bool reached =
+      outcome != Outcome::kNotRun || reason == Reason::kBackEndRefused;
+  const bool failed =
+      outcome == Outcome::kOk && reply.status >= kServerErrorStatus;
+  if (outcome == Outcome::kOk && !failed) {
+    return false;
+  }
+  if (outcome != Outcome::kNotRun && !call.route->idempotent) {
+    return false;
+  }
+  if (reason == Reason::kQuarantined || Now() >= call.deadline) {
+    return false;
+  }
+  if (!reached) {
+    return call.offers < static_cast<int>(kMostOffers);
+  }
+  if (call.attempts >= call.route->max_attempts ||
+      !this->retries.TrySpend({call.message.service_name}, Now())) {
+    return false;
+  }
+  ++call.attempts;
+  return true;
+}
+
+wire::CallReply MeshEntry::Attempt(Call& call, const NodeId& node) {
+  const Instant now = Now();
+  wire::CallRequest& message = call.message;
+  message.remaining_us =
+      duration_cast<microseconds>(call.deadline - now).count();
+  message.target_us = std::max<std::int64_t>(
+      0, duration_cast<microseconds>(call.target - now).count());
+  message.send_id = std::to_string(this->config.incarnation.value) + "-" +
+                    this->config.self.value + "-" +
+                    std::to_string(++this->last_send);
+  call.tried.push_back(node);
+  ++call.offers;
+  call.at = node;
+  call.at_start = this->peers.IncarnationOf(node);
+  this->placement.OnSent(node);
+  wire::CallReply reply = node == this->config.self
+                              ? this->owner.Run(message)
+                              : this->SendToPeer(call, node);
+  call.at.reset();
+  if (call.left) {
+    this->placement.OnGivenUp(node);
+  } else if (reply.__isset.load) {
+    this->placement.OnReply(node, FromWire(reply.load), Now());
+  } else {
+    this->placement.OnUnreachable(node, Now());
+  }
+  return reply;
+}
+
+wire::CallReply MeshEntry::SendToPeer(Call& call, const NodeId& node) {
+  const auto wait =
+      duration_cast<microseconds>(call.deadline - Now()) + kReplyMargin;
+  const auto bytes =
+      this->peers.Request(node, Channel::kCall, Encode(call.message), wait);
+  if (bytes) {
+    auto reply = Decode<wire::CallReply>(*bytes);
+    return reply ? std::move(*reply)
+                 : MakeReply(Outcome::kUnknown, Reason::kBadRequest,
+                             "the reply is not readable");
+  }
+  if (bytes.error().kind == PeerErrorKind::kNotSent) {
+    return MakeReply(Outcome::kNotRun, Reason::kPeerUnreachable,
+                     bytes.error().text);
+  }
+  return this->AskAgain(call, node);
+}
+
+// The connection died with the call in flight: a new one learns what became of
+// it, unless the node has started anew and knows nothing.
+wire::CallReply MeshEntry::AskAgain(Call& call, const NodeId& node) {
+  wire::CallReply lost = MakeReply(Outcome::kUnknown, Reason::kConnectionLost,
+                                   "the link to the node was lost");
+  if (!call.at_start) {
+    return lost;
+  }
+  // What may be repeated is soon better off at another node.
+  const int most_asks = call.route->idempotent ? 1 : kMostAsks;
+  for (int asks = 0; asks < most_asks && !call.left; ++asks) {
+    const auto left = duration_cast<microseconds>(call.deadline - Now());
+    if (left.count() <= 0) {
+      return MakeReply(Outcome::kUnknown, Reason::kDeadline,
+                       "no reply by the deadline");
+    }
+    wire::SendQuestion question;
+    question.send_id = call.message.send_id;
+    question.incarnation = static_cast<std::int64_t>(call.at_start->value);
+    question.remaining_us = left.count();
+    const auto bytes = this->peers.Request(
+        node, Channel::kSend, Encode(question), left + kReplyMargin);
+    if (bytes) {
+      auto reply = Decode<wire::CallReply>(*bytes);
+      this->events.Write("asked again",
+                         {{"id", call.message.attempt_id},
+                          {"to", node.value},
+                          {"readable", std::int64_t{reply.has_value()}}});
+      return reply ? std::move(*reply) : lost;
+    }
+    boost::this_fiber::sleep_for(kAskPause);
+  }
+  return lost;
+}
+
+}  // namespace tanagerledge
--- /dev/null
+++ b/src/sidecar/mesh_entry.h
@@ -0,0 +1,88 @@
+// Takes requests of the callers on this machine, finds the node to run each one
+// and brings back its answer.
+//
+// Everything runs on the node's loop; Handle waits in the fiber of its request.
+
+#ifndef TANAGERLEDGE_SRC_SIDECAR_MESH_ENTRY_H_
+#define TANAGERLEDGE_SRC_SIDECAR_MESH_ENTRY_H_
+
+#include <peer_types.h>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/adapters/event_log.h"
+#include "src/adapters/http_server.h"
+#include "src/adapters/peer_transport.h"
+#include "src/node/call_metrics.h"
+#include "src/sidecar/owner.h"
+#include "src/sidecar/platform_port.h"
+#include "tanagerledge/fleet_retry_budget.h"
+#include "tanagerledge/mesh_config.h"
+#include "tanagerledge/placement.h"
+#include "tanagerledge/weighted_split.h"
+
+namespace tanagerledge {
+
+struct MeshEntryConfig {
+  NodeId self;
+  Zone zone;
+  Incarnation incarnation;
+  ServiceName caller;  // Of the back end beside this node: told to the others.
+};
+
+class MeshEntry {
+ public:
+  MeshEntry(MeshEntryConfig config,
+            const PlatformPort& platform,
+            PeerTransport& peers,
+            Owner& owner,
+            EventLog& events,
+            CallMetrics& metrics,
+            FleetRetryConfig retry_config);
+
+  // Answers one request of a caller; nothing when the caller has left.
+  std::optional<HttpResponse> Handle(const HttpRequest& request,
+                                     Departure& departure);
+
+  // What requests from now on go by.
+  void SetConfig(std::shared_ptr<const MeshConfig> next);
+  void SetCaller(ServiceName service) { this->config.caller = service; }
+  void SetEndpoints(const std::vector<Endpoint>& endpoints);
+  void SetLiveNodes(std::size_t count) { this->retries.SetLiveNodes(count); }
+
+  std::size_t calls_in_progress() const { return this->in_progress; }
+
+ private:
+  struct Call;
+
+  OwnAnswer RefuseUnrouted(Reason reason) const;
+  wire::CallReply RunAttempts(Call& call);
+  wire::CallReply Attempt(Call& call, const NodeId& node);
+  wire::CallReply SendToPeer(Call& call, const NodeId& node);
+  wire::CallReply AskAgain(Call& call, const NodeId& node);
+  bool MayTryElsewhere(Call& call, const wire::CallReply& reply);
+  HttpResponse Finish(const Call& call, wire::CallReply& reply);
+  void Leave(Call& call);
+
+  MeshEntryConfig config;
+  const PlatformPort& platform;
+  PeerTransport& peers;
+  Owner& owner;
+  EventLog& events;
+  CallMetrics& metrics;
+  std::shared_ptr<const MeshConfig> mesh;
+  WeightedSplit split;
+  Placement placement;
+  FleetRetryBudget retries;
+  std::uint64_t last_send = 0;
+  std::size_t in_progress = 0;
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_SRC_SIDECAR_MESH_ENTRY_H_
--- /dev/null
+++ b/src/sidecar/owner.cc
@@ -0,0 +1,365 @@
+#include "src/sidecar/owner.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+#include <variant>
+
+#include "src/adapters/codec.h"
+#include "src/node/call_messages.h"
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr std::int64_t kLongestCallUs = 600'000'000;
+// The back end answers by itself at the deadline that it was given; the wait is
+// longer by this so that its answer is seen.
+constexpr milliseconds kAnswerMargin{25};
+// Less time than this at a back end serves nobody: work takes 20 ms and more.
+constexpr milliseconds kLeastOffer{15};
+// After a stop is announced, calls that were under way are still run this long;
+// news of the stop reach all nodes in less.
+constexpr milliseconds kStopTail{1200};
+// Between two looks whether the back end still listens.
+constexpr milliseconds kDeathCheckInterval{200};
+
+Instant Now() {
+  return std::chrono::steady_clock::now();
+}
+
+wire::CallReply NotRun(Reason reason,
+                       std::string detail,
+                       microseconds room_in = microseconds{0}) {
+  wire::CallReply reply =
+      MakeReply(Outcome::kNotRun, reason, std::move(detail));
+  reply.room_in_us = room_in.count();
+  return reply;
+}
+
+}  // namespace
+
+Owner::Owner(IoLoop& io_loop,
+             const PlatformPort& platform_port,
+             SuspectHost& suspect_host,
+             EventLog& event_log,
+             BackEndLifeConfig life_config,
+             Incarnation own_incarnation)
+    : loop(io_loop),
+      platform(platform_port),
+      suspects(suspect_host),
+      events(event_log),
+      incarnation(own_incarnation),
+      life(life_config),
+      link(io_loop) {}
+
+// Calls from elsewhere --------------------------------------------------------
+
+std::string Owner::RunForPeer(std::string_view bytes) {
+  const auto request = Decode<wire::CallRequest>(bytes);
+  if (!request) {
+    return Encode(NotRun(Reason::kBadRequest, "the call is not readable"));
+  }
+  const Instant deadline =
+      Now() + microseconds(std::clamp<std::int64_t>(request->remaining_us, 0,
+                                                    kLongestCallUs));
+  const AttemptState before = this->ledger.OnRun(request->send_id, deadline);
+  if (before == AttemptState::kVoid) {
+    return Encode(NotRun(Reason::kDuplicate, "this send was declared void"));
+  }
+  if (before != AttemptState::kNew) {
+    return Encode(MakeReply(Outcome::kUnknown, Reason::kDuplicate,
+                            "this send came before"));
+  }
+  const auto reply =
+      std::make_shared<const std::string>(Encode(this->Run(*request)));
+  this->ledger.OnDone(request->send_id, reply);
+  const auto asked = this->questions.extract(request->send_id);
+  if (!asked.empty()) {
+    std::ranges::for_each(asked.mapped(), [&reply](const KeptWaiter& waiter) {
+      waiter->Give(reply);
+    });
+  }
+  return *reply;
+}
+
+std::string Owner::RunQuestion(std::string_view bytes) {
+  const auto question = Decode<wire::SendQuestion>(bytes);
+  if (!question) {
+    return Encode(MakeReply(Outcome::kUnknown, Reason::kBadRequest,
+                            "the question is not readable"));
+  }
+  if (question->incarnation !=
+      static_cast<std::int64_t>(this->incarnation.value)) {
+    return Encode(MakeReply(Outcome::kUnknown, Reason::kConnectionLost,
+                            "this node has started anew since"));
+  }
+  const Instant deadline =
+      Now() + microseconds(std::clamp<std::int64_t>(question->remaining_us, 0,
+                                                    kLongestCallUs));
+  const std::string& send_id = question->send_id;
+  switch (this->ledger.OnAsk(send_id, deadline)) {
+    case AttemptState::kNew:
+    case AttemptState::kVoid:
+      return Encode(NotRun(Reason::kConnectionLost, "the send never came"));
+    case AttemptState::kDone:
+      return *this->ledger.ReplyOf(send_id);
+    case AttemptState::kRunning:
+      break;
+  }
+  const auto waiter = std::make_shared<FiberSlot<KeptReply>>();
+  this->questions[send_id].push_back(waiter);
+  const auto kept = waiter->TakeUntil(deadline + kAnswerMargin);
+  if (!kept || *kept == nullptr) {
+    return Encode(MakeReply(Outcome::kUnknown, Reason::kDeadline,
+                            "still at the back end at the deadline"));
+  }
+  return **kept;
+}
+
+void Owner::Cancel(const std::string& send_id) {
+  const auto found = this->by_send.find(send_id);
+  if (found == this->by_send.end()) {
+    return;
+  }
+  const CallPtr call = this->calls.at(found->second);
+  call->caller_left = true;
+  this->Carry(this->queue.OnCancel(call->id));
+  // What must not run twice is left to end: breaking it off tells nobody
+  // whether it ran.
+  if (call->break_off && call->request->idempotent) {
+    call->break_off();
+  }
+}
+
+// A call ----------------------------------------------------------------------
+
+wire::CallReply Owner::Run(const wire::CallRequest& request) {
+  const auto call = std::make_shared<Call>();
+  const Instant now = Now();
+  call->request = &request;
+  call->id = ++this->last_id;
+  call->deadline = now + microseconds(std::clamp<std::int64_t>(
+                             request.remaining_us, 0, kLongestCallUs));
+  call->fingerprint = FingerprintOf({request.customer}, request.method,
+                                    request.target, request.body);
+  this->calls.emplace(call->id, call);
+  this->by_send[request.send_id] = call->id;
+  wire::CallReply reply = this->Admit(call);
+  reply.__set_load(ToWire(this->queue.Report()));
+  reply.execution_us = duration_cast<microseconds>(Now() - now).count();
+  this->by_send.erase(request.send_id);
+  this->calls.erase(call->id);
+  return reply;
+}
+
+bool Owner::MayRun(const wire::CallRequest& request, Instant now) const {
+  const bool stopped = this->stopping && now - *this->stopping > kStopTail;
+  return !stopped && this->life.MayRun({request.service_name}, now);
+}
+
+wire::CallReply Owner::Admit(const CallPtr& call) {
+  const wire::CallRequest& request = *call->request;
+  if (!this->MayRun(request, Now())) {
+    return NotRun(Reason::kNoEndpoint, "no such back end runs here now");
+  }
+  const SuspectVerdict verdict =
+      this->suspects.Admit(call->fingerprint, call->deadline);
+  if (verdict == SuspectVerdict::kRefuse || verdict == SuspectVerdict::kHold) {
+    this->events.Write("quarantined",
+                       {{"id", request.attempt_id}, {"route", request.route}});
+    return NotRun(Reason::kQuarantined, "back ends died running this request");
+  }
+  const SlotDecision decision = this->AwaitSlot(*call);
+  if (decision.reason != Reason::kNone) {
+    return NotRun(decision.reason, "no slot in time", decision.room_in);
+  }
+  wire::CallReply reply;
+  if (call->caller_left) {
+    reply = NotRun(Reason::kDeadline, "the caller left");
+  } else if (!this->MayRun(request, Now())) {
+    reply = NotRun(Reason::kNoEndpoint, "the back end left meanwhile");
+  } else {
+    reply = this->SendToBackEnd(*call);
+    if (OutcomeOf(reply) == Outcome::kOk) {
+      this->suspects.RanSafely(call->fingerprint, verdict);
+    }
+  }
+  this->Carry(this->queue.OnFinished(call->id, FinishKindOf(reply), Now()));
+  return reply;
+}
+
+Owner::SlotDecision Owner::AwaitSlot(Call& call) {
+  const wire::CallRequest& request = *call.request;
+  const Instant now = Now();
+  SlotRequest offer;
+  offer.id = call.id;
+  offer.work = request.route;
+  offer.priority = request.priority;
+  offer.nested = request.nested;
+  offer.returning = request.returning;
+  offer.target = now + microseconds(request.target_us);
+  offer.deadline = call.deadline - kLeastOffer;
+  this->Carry(this->queue.Offer(offer, now));
+  // Ticks turn away what can't be served; the margin is for them.
+  constexpr milliseconds kTickMargin{100};
+  if (const auto decision = call.slot.TakeUntil(call.deadline + kTickMargin)) {
+    return *decision;
+  }
+  this->Carry(this->queue.OnCancel(call.id));
+  return call.slot.TakeUntil(Now()).value_or(
+      SlotDecision{Reason::kDeadline, microseconds{0}});
+}
+
+void Owner::Carry(const SlotActions& actions) {
+  const auto decide = [this](std::uint64_t id, SlotDecision decision) {
+    const auto found = this->calls.find(id);
+    if (found != this->calls.end()) {
+      found->second->slot.Give(decision);
+    }
+  };
+  std::ranges::for_each(actions, [&](const SlotAction& action) {
+    if (const auto* start = std::get_if<StartCall>(&action)) {
+      decide(start->id, {});
+    } else {
+      const auto& away = std::get<TurnAway>(action);
+      decide(away.id, {away.reason, away.room_in});
+    }
+  });
+}
+
+wire::CallReply Owner::SendToBackEnd(Call& call) {
+  const wire::CallRequest& request = *call.request;
+  const auto left = duration_cast<milliseconds>(call.deadline - Now());
+  if (left < kLeastOffer) {
+    return NotRun(Reason::kDeadline, "no time was left to run it");
+  }
+  const Heartbeat& back_end = *this->life.known();
+  call.instance = back_end.instance;
+  const HttpRequest out =
+      this->platform.ToBackEnd(request, call.instance, left);
+  ExchangeOptions exchange;
+  exchange.belongs = [this, &request](const HttpResponse& answer) {
+    return this->platform.IsFor(answer, request.attempt_id);
+  };
+  exchange.cancel = &call.break_off;
+  auto answer =
+      this->link.Send({back_end.address}, out, left + kAnswerMargin, exchange);
+  if (!answer) {
+    return this->OnNoAnswer(call, answer.error());
+  }
+  switch (this->platform.Judge(*answer, request.attempt_id)) {
+    case AnswerKind::kAnswered:
+      return this->Accept(std::move(*answer));
+    case AnswerKind::kNotRun:
+      return NotRun(Reason::kBackEndRefused, "the back end did not run it");
+    case AnswerKind::kWrongInstance:
+      this->life.OnDied(call.instance);
+      this->events.Write("back end replaced", {{"id", request.attempt_id},
+                                               {"instance", call.instance}});
+      return NotRun(Reason::kBackEndRefused, "another instance answered");
+    case AnswerKind::kSpoilt:
+      break;
+  }
+  this->events.Write("answer spoilt",
+                     {{"id", request.attempt_id},
+                      {"status", static_cast<std::int64_t>(answer->status)}});
+  return MakeReply(Outcome::kUnknown, Reason::kConnectionLost,
+                   "the answer was not one to this request");
+}
+
+wire::CallReply Owner::Accept(HttpResponse&& answer) {
+  wire::CallReply reply = MakeReply(Outcome::kOk, Reason::kNone, "");
+  reply.status = answer.status;
+  reply.body = std::move(answer.body);
+  std::ranges::for_each(answer.headers, [&reply](HttpHeader& header) {
+    if (IsEndToEnd(header.name)) {
+      wire::Header& kept = reply.headers.emplace_back();
+      kept.name = std::move(header.name);
+      kept.value = std::move(header.value);
+    }
+  });
+  return reply;
+}
+
+wire::CallReply Owner::OnNoAnswer(Call& call, const HttpError& error) {
+  const bool by_deadline = Now() >= call.deadline;
+  if (!by_deadline && !call.caller_left) {
+    this->CheckDeath(call);
+  }
+  this->events.Write(
+      "no answer",
+      {{"id", call.request->attempt_id},
+       {"instance", call.instance},
+       {"may_have_run", std::int64_t{error.may_have_arrived}},
+       {"left_ms", duration_cast<milliseconds>(call.deadline - Now()).count()},
+       {"error", error.text}});
+  if (!error.may_have_arrived) {
+    return NotRun(Reason::kBackEndRefused, "the back end was not reached");
+  }
+  return MakeReply(Outcome::kUnknown,
+                   by_deadline ? Reason::kDeadline : Reason::kConnectionLost,
+                   "no answer of the back end");
+}
+
+// Back end --------------------------------------------------------------------
+
+void Owner::CheckDeath(const Call& call) {
+  const Instant now = Now();
+  if (now < this->next_death_check || !this->life.known()) {
+    return;
+  }
+  this->next_death_check = now + kDeathCheckInterval;
+  const BackEndId address{this->life.known()->address};
+  if (this->link.Listens(address)) {
+    return;
+  }
+  this->life.OnDied(call.instance);
+  std::vector<Fingerprint> running;
+  std::ranges::for_each(this->calls, [&](const auto& entry) {
+    if (entry.second->instance == call.instance) {
+      running.push_back(entry.second->fingerprint);
+    }
+  });
+  this->events.Write("back end died",
+                     {{"instance", call.instance},
+                      {"running", static_cast<std::int64_t>(running.size())}});
+  this->suspects.BackEndDied(running);
+}
+
+HeartbeatVerdict Owner::OnHeartbeat(const Heartbeat& heartbeat) {
+  const Instant now = Now();
+  const HeartbeatVerdict verdict = this->life.OnHeartbeat(heartbeat, now);
+  if (verdict == HeartbeatVerdict::kChanged) {
+    this->Carry(this->queue.OnSlots(heartbeat.slots, now));
+  }
+  return verdict;
+}
+
+bool Owner::OnGoodbye(const std::string& instance) {
+  return this->life.OnLeave(instance, Now());
+}
+
+void Owner::OnNodeStopping() {
+  this->stopping = Now();
+}
+
+EndpointState Owner::State() const {
+  return this->stopping ? EndpointState::kDraining : this->life.State(Now());
+}
+
+void Owner::OnTick() {
+  const Instant now = Now();
+  this->Carry(this->queue.OnTick(now));
+  this->ledger.Expire(now);
+  const bool open =
+      this->life.known() && this->life.MayRun(this->life.known()->service, now);
+  if (!open) {
+    this->Carry(this->queue.Flush(Reason::kNoEndpoint));
+  }
+}
+
+}  // namespace tanagerledge
--- /dev/null
+++ b/src/sidecar/owner.h
@@ -0,0 +1,126 @@
+// Runs calls at the back end beside this node.
+//
+// The owner is the only way to its back end, so every rule about the back end
+// is kept here, whatever other nodes believe: the service and instance that a
+// call is for, its slots, its leaving, and at most one run of each send.
+//
+// Everything runs on the node's loop; methods named Run wait in their fiber.
+
+#ifndef TANAGERLEDGE_SRC_SIDECAR_OWNER_H_
+#define TANAGERLEDGE_SRC_SIDECAR_OWNER_H_
+
+#include <peer_types.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "src/adapters/event_log.h"
+#include "src/adapters/fiber_io.h"
+#include "src/adapters/fiber_sync.h"
+#include "src/node/back_end_link.h"
+#include "src/node/suspect_host.h"
+#include "src/sidecar/platform_port.h"
+#include "tanagerledge/attempt_ledger.h"
+#include "tanagerledge/back_end_life.h"
+#include "tanagerledge/slot_queue.h"
+
+namespace tanagerledge {
+
+class Owner {
+ public:
+  Owner(IoLoop& loop,
+        const PlatformPort& platform,
+        SuspectHost& suspects,
+        EventLog& events,
+        BackEndLifeConfig life_config,
+        Incarnation incarnation);
+
+  // Calls ---------------------------------------------------------------------
+
+  // A call from this node's own entry.
+  wire::CallReply Run(const wire::CallRequest& request);
+
+  // A call from another node, encoded; its reply is kept for questions.
+  std::string RunForPeer(std::string_view request);
+
+  // Another node lost the reply: what became of the send. Waits while it runs.
+  std::string RunQuestion(std::string_view question);
+
+  // The caller behind a send has gone: work that may be broken off is.
+  void Cancel(const std::string& send_id);
+
+  // Back end ------------------------------------------------------------------
+
+  HeartbeatVerdict OnHeartbeat(const Heartbeat& heartbeat);
+  bool OnGoodbye(const std::string& instance);
+  // This node stops: calls are taken for a moment longer, then turned away.
+  void OnNodeStopping();
+
+  const std::optional<Heartbeat>& back_end() const {
+    return this->life.known();
+  }
+  EndpointState State() const;
+
+  // Every 20 ms or so.
+  void OnTick();
+  void Close() { this->link.Close(); }
+
+  std::size_t calls_in_progress() const { return this->calls.size(); }
+  LoadReport Load() const { return this->queue.Report(); }
+
+ private:
+  // How the wait for a slot ended.
+  struct SlotDecision {
+    Reason reason = Reason::kNone;  // kNone: the call holds a slot.
+    std::chrono::microseconds room_in{0};
+  };
+
+  // One call, from its arrival to its reply.
+  struct Call {
+    const wire::CallRequest* request = nullptr;
+    std::uint64_t id = 0;
+    Instant deadline{};
+    Fingerprint fingerprint;
+    bool caller_left = false;
+    FiberSlot<SlotDecision> slot;
+    std::function<void()> break_off;  // Set while the back end works.
+    std::string instance;             // Where it was sent.
+  };
+  using CallPtr = std::shared_ptr<Call>;
+  using KeptWaiter = std::shared_ptr<FiberSlot<KeptReply>>;
+
+  wire::CallReply Admit(const CallPtr& call);
+  wire::CallReply SendToBackEnd(Call& call);
+  wire::CallReply OnNoAnswer(Call& call, const HttpError& error);
+  wire::CallReply Accept(HttpResponse&& answer);
+  void CheckDeath(const Call& call);
+  bool MayRun(const wire::CallRequest& request, Instant now) const;
+  SlotDecision AwaitSlot(Call& call);
+  void Carry(const SlotActions& actions);
+
+  IoLoop& loop;
+  const PlatformPort& platform;
+  SuspectHost& suspects;
+  EventLog& events;
+  const Incarnation incarnation;
+  BackEndLife life;
+  SlotQueue queue;
+  AttemptLedger ledger;
+  BackEndLink link;
+  std::uint64_t last_id = 0;
+  std::unordered_map<std::uint64_t, CallPtr> calls;
+  std::unordered_map<std::string, std::uint64_t> by_send;
+  std::unordered_map<std::string, std::vector<KeptWaiter>> questions;
+  std::optional<Instant> stopping;
+  Instant next_death_check{};
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_SRC_SIDECAR_OWNER_H_
--- /dev/null
+++ b/src/sidecar/platform_port.h
@@ -0,0 +1,102 @@
+// What a sidecar asks of the platform that it runs on: names and formats, each
+// turned into the project's own types. Implementations translate and decide
+// nothing; platform/ has the one for the users' platform.
+
+#ifndef TANAGERLEDGE_SRC_SIDECAR_PLATFORM_PORT_H_
+#define TANAGERLEDGE_SRC_SIDECAR_PLATFORM_PORT_H_
+
+#include <peer_types.h>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+#include "src/adapters/http_message.h"
+#include "tanagerledge/back_end_life.h"
+#include "tanagerledge/mesh_config.h"
+#include "tanagerledge/outcome.h"
+
+namespace tanagerledge {
+
+// A caller's request, as far as routing needs it.
+struct CallerRequest {
+  std::string attempt_id;  // Unique for each attempt of a client.
+  std::string host;
+  // How long the caller will wait; nothing when it does not say.
+  std::optional<std::chrono::milliseconds> patience;
+  bool nested = false;  // A back end makes it while it runs another request.
+  std::vector<wire::Header> headers;  // To be passed on.
+};
+
+// What a back end's answer to an attempt is worth.
+enum class AnswerKind {
+  kAnswered,  // The back end ran the request; the answer is to be passed on.
+  kNotRun,    // The back end says that it did not run the request.
+  kWrongInstance,  // Another instance has the address; it did not run it.
+  kSpoilt,         // Not a whole answer to this attempt: it may have run.
+};
+
+// A back end takes its leave.
+struct Goodbye {
+  std::string instance;
+};
+
+using BackEndWord = std::variant<Heartbeat, Goodbye>;
+
+// The answer to a caller that gets none from a back end.
+struct OwnAnswer {
+  Outcome outcome = Outcome::kNotRun;
+  Reason reason = Reason::kNone;
+  // With a refusal: when to come back. Zero: nothing is said.
+  std::chrono::microseconds room_in{0};
+};
+
+class PlatformPort {
+ public:
+  virtual ~PlatformPort() = default;
+
+  // Requests -----------------------------------------------------------------
+
+  virtual tl::expected<CallerRequest, std::string> ReadCaller(
+      const HttpRequest& request) const = 0;
+
+  // The request as the back end expects it; `left` is the time that it has.
+  virtual HttpRequest ToBackEnd(const wire::CallRequest& call,
+                                const std::string& instance,
+                                std::chrono::milliseconds left) const = 0;
+
+  // Whether an answer on a back end's connection is to this attempt.
+  virtual bool IsFor(const HttpResponse& answer,
+                     const std::string& attempt_id) const = 0;
+  virtual AnswerKind Judge(const HttpResponse& answer,
+                           const std::string& attempt_id) const = 0;
+
+  virtual HttpResponse ToCaller(const OwnAnswer& answer) const = 0;
+
+  // Back ends ----------------------------------------------------------------
+
+  // Reads a heartbeat or goodbye; the error says what is wrong with it.
+  virtual tl::expected<BackEndWord, std::string> ReadBackEndWord(
+      const HttpRequest& request) const = 0;
+
+  // Configuration ------------------------------------------------------------
+
+  // The store's stream and key that hold the operator's configuration.
+  virtual std::string_view ConfigStream() const = 0;
+  virtual std::string_view ConfigKey() const = 0;
+  virtual tl::expected<std::shared_ptr<const MeshConfig>, std::string>
+  ReadConfig(std::string_view content) const = 0;
+
+  // The store's stream by which nodes find one another: the key is the node's
+  // address, the value is not used.
+  virtual std::string_view NodeStream() const = 0;
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_SRC_SIDECAR_PLATFORM_PORT_H_
--- /dev/null
+++ b/src/sidecar/sidecar.cc
@@ -0,0 +1,434 @@
+#include "src/sidecar/sidecar.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+#include <variant>
+
+#include "src/adapters/codec.h"
+#include "src/adapters/net.h"
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Waiting calls are judged anew, and reads of the store are started, this
+// often. An eighth of the shortest target time seen, 80 ms, is 10 ms; judging
+// costs some us.
+constexpr milliseconds kTick{20};
+// Between two tries to find other nodes through the store.
+constexpr milliseconds kJoinRetry{1000};
+constexpr milliseconds kStoreTimeout{1500};
+// The platform asks for readiness every second and takes a node out after two
+// misses: until then its callers go on sending.
+constexpr milliseconds kCallersLeave{2300};
+// Before the grace time ends, the process is gone by itself.
+constexpr milliseconds kGraceMargin{900};
+constexpr milliseconds kShutdownStep{20};
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
+
+Incarnation NewIncarnation() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return Incarnation{
+      static_cast<std::uint64_t>(duration_cast<milliseconds>(since).count())};
+}
+
+// Settings have been checked: an address that fails here is a broken invariant.
+boost::asio::ip::tcp::endpoint CheckedAddress(const std::string& text) {
+  return ParseAddress(text).value();
+}
+
+FleetRetryConfig RetryConfigOf(const FleetBounds& bounds) {
+  FleetRetryConfig config;
+  config.ratio = bounds.retry_ratio;
+  config.extra = bounds.extra_retries;
+  config.window = bounds.retry_window;
+  return config;
+}
+
+BackEndLifeConfig LifeConfigOf(const Settings& settings) {
+  constexpr int kHeartbeatsMissed = 3;  // One may come seconds late.
+  BackEndLifeConfig config;
+  config.silence = settings.heartbeat_period * kHeartbeatsMissed;
+  config.drain_tail = settings.bounds.drain / 2;
+  return config;
+}
+
+MembershipConfig MembershipConfigOf(const Settings& settings,
+                                    Incarnation incarnation) {
+  // Probes are a datagram each way; news of a back end ride on them, and must
+  // be everywhere well within a second.
+  constexpr milliseconds kPeriod{500};
+  constexpr milliseconds kSuspicion{2500};
+  MembershipConfig config;
+  config.self = settings.address;
+  config.zone = settings.zone;
+  config.fleet = settings.fleet;
+  config.incarnation = incarnation;
+  config.seeds = settings.seeds;
+  config.seed = incarnation.value ^ std::hash<NodeId>()(settings.address);
+  config.period = kPeriod;
+  config.suspicion = kSuspicion;
+  return config;
+}
+
+MeshEntryConfig EntryConfigOf(const Settings& settings,
+                              Incarnation incarnation) {
+  return {settings.address, settings.zone, incarnation, settings.service};
+}
+
+}  // namespace
+
+Sidecar::Sidecar(Settings node_settings,
+                 const PlatformPort& platform_port,
+                 const StoreMaker& make_store)
+    : settings(std::move(node_settings)),
+      platform(platform_port),
+      identity{this->settings.fleet, this->settings.address,
+               this->settings.zone, NewIncarnation(), this->settings.delays},
+      events(this->settings.address.value),
+      registry(std::make_shared<prometheus::Registry>()),
+      metrics(*this->registry),
+      handlers(this->MakeHandlers()),
+      peers(this->loop, this->identity, this->handlers, this->peer_counters),
+      datagrams(this->loop, this->settings.address),
+      store(make_store(this->loop)),
+      suspects(this->loop, this->peers, this->settings.address),
+      owner(this->loop,
+            this->platform,
+            this->suspects,
+            this->events,
+            LifeConfigOf(this->settings),
+            this->identity.incarnation),
+      entry(EntryConfigOf(this->settings, this->identity.incarnation),
+            this->platform,
+            this->peers,
+            this->owner,
+            this->events,
+            this->metrics,
+            RetryConfigOf(this->settings.bounds)),
+      membership(
+          this->loop,
+          this->peers,
+          this->datagrams,
+          MembershipConfigOf(this->settings, this->identity.incarnation),
+          [this](const std::vector<Member>& all) { this->OnMembers(all); }),
+      configs(this->loop,
+              this->peers,
+              *this->store,
+              this->platform,
+              this->events,
+              [this](std::shared_ptr<const MeshConfig> mesh) {
+                HttpLimits limits;
+                limits.max_header_bytes = mesh->limits().max_header_bytes;
+                limits.max_body_bytes = mesh->limits().max_body_bytes;
+                limits.read_timeout = mesh->limits().header_timeout;
+                limits.idle_timeout = mesh->limits().idle_timeout;
+                this->front.SetLimits(limits);
+                this->membership.SetInForce({mesh->version()});
+                this->entry.SetConfig(std::move(mesh));
+                this->has_config = true;
+              }),
+      front(this->loop,
+            HttpServer::WatchfulHandler(
+                [this](const HttpRequest& request, Departure& departure) {
+                  return this->entry.Handle(request, departure);
+                })),
+      control(this->loop,
+              HttpServer::Handler([this](const HttpRequest& request) {
+                return this->OnBackEndWord(request);
+              })),
+      readiness(this->loop, HttpServer::Handler([this](const HttpRequest&) {
+                  return std::optional(this->OnReadiness());
+                })) {}
+
+Sidecar::~Sidecar() = default;
+
+// Start -----------------------------------------------------------------------
+
+tl::expected<void, std::string> Sidecar::Start() {
+  if (auto listening = this->Listen(); !listening) {
+    return listening;
+  }
+  if (auto opened = this->membership.Start(); !opened) {
+    return tl::unexpected("node address " + opened.error());
+  }
+  this->suspects.Start();
+  this->peers.WatchLinks({});
+  this->loop.Spawn([this] { this->RunTicks(); });
+  this->loop.Spawn([this] { this->RunNodeDirectory(); });
+  this->events.Write("started",
+                     {{"zone", this->settings.zone.value},
+                      {"service", this->settings.service.value},
+                      {"incarnation", static_cast<std::int64_t>(
+                                          this->identity.incarnation.value)}});
+  this->loop.Start();
+  return {};
+}
+
+tl::expected<void, std::string> Sidecar::Listen() {
+  const auto bind = [](std::string_view what,
+                       auto bound) -> tl::expected<void, std::string> {
+    if (!bound) {
+      return tl::unexpected(std::string(what) + " address " +
+                            bound.error().text);
+    }
+    return {};
+  };
+  return bind("node",
+              this->peers.Accept(CheckedAddress(this->settings.address.value)))
+      .and_then([&] {
+        return bind("front", this->front.Accept(
+                                 CheckedAddress(this->settings.front_address)));
+      })
+      .and_then([&] {
+        return bind("admin", this->control.Accept(
+                                 CheckedAddress(this->settings.admin_address)));
+      })
+      .and_then([&] {
+        return bind("readiness", this->readiness.Accept(CheckedAddress(
+                                     this->settings.readiness_address)));
+      });
+}
+
+PeerHandlers Sidecar::MakeHandlers() {
+  PeerHandlers all;
+  const auto index = [](Channel channel) {
+    return static_cast<std::size_t>(channel);
+  };
+  all.on_request[index(Channel::kCall)] = [this](const NodeId&,
+                                                 std::string_view bytes) {
+    return this->owner.RunForPeer(bytes);
+  };
+  all.on_request[index(Channel::kSend)] = [this](const NodeId&,
+                                                 std::string_view bytes) {
+    return this->owner.RunQuestion(bytes);
+  };
+  all.on_message[index(Channel::kSend)] = [this](const NodeId&,
+                                                 std::string_view bytes) {
+    if (const auto cancel = Decode<wire::SendCancel>(bytes)) {
+      this->owner.Cancel(cancel->send_id);
+    }
+  };
+  all.on_request[index(Channel::kConfig)] = [this](const NodeId&,
+                                                   std::string_view bytes) {
+    return this->configs.OnPeerQuestion(bytes);
+  };
+  const auto membership_answer = [this](const NodeId& from,
+                                        std::string_view bytes) {
+    return this->membership.OnPeerRequest(from, bytes);
+  };
+  all.on_request[index(Channel::kMembership)] = membership_answer;
+  all.on_request[index(Channel::kReach)] = membership_answer;
+  all.on_request[index(Channel::kSuspects)] = [this](const NodeId& from,
+                                                     std::string_view bytes) {
+    return this->suspects.OnPeerRequest(from, bytes);
+  };
+  return all;
+}
+
+void Sidecar::RunTicks() {
+  while (this->loop.SleepFor(kTick)) {
+    this->owner.OnTick();
+    this->configs.OnTick();
+    this->TellBackEnd();
+    this->events.Flush();
+  }
+}
+
+// Fleet -----------------------------------------------------------------------
+
+void Sidecar::RunNodeDirectory() {
+  while (!this->JoinByStore() && this->loop.SleepFor(kJoinRetry)) {
+  }
+}
+
+// Writes this node down and reads who else there is, in this order: of two
+// nodes that start at once, at least one sees the other.
+bool Sidecar::JoinByStore() {
+  const auto put =
+      this->store->Put(this->platform.NodeStream(),
+                       this->settings.address.value, "up", kStoreTimeout);
+  const auto page =
+      this->store->ReadNewest(this->platform.NodeStream(), kStoreTimeout);
+  if (page) {
+    std::vector<NodeId> seeds;
+    std::ranges::transform(
+        page->records, std::back_inserter(seeds),
+        [](const KeyedRecord& record) { return NodeId{record.key}; });
+    std::erase_if(seeds, [](const NodeId& node) {
+      return !ParseAddress(node.value).has_value();
+    });
+    this->membership.AddSeeds(seeds);
+  }
+  if (!put || !page) {
+    this->events.Write(
+        "store join failed",
+        {{"error", !put ? put.error().text : page.error().text}});
+  }
+  return put.has_value() && page.has_value();
+}
+
+void Sidecar::OnMembers(const std::vector<Member>& members) {
+  std::vector<Endpoint> endpoints;
+  std::size_t live = 0;
+  std::ranges::for_each(members, [&](const Member& member) {
+    if (!IsLive(member)) {
+      return;
+    }
+    ++live;
+    if (member.node != this->settings.address) {
+      this->peers.Connect(member.node);
+    }
+    if (member.endpoint) {
+      endpoints.push_back(*member.endpoint);
+    }
+  });
+  this->live_members = live;
+  this->entry.SetLiveNodes(live);
+  this->entry.SetEndpoints(endpoints);
+  this->configs.SetMembers(members, this->settings.address);
+  const auto& back_end = this->owner.back_end();
+  this->suspects.SetMembers(members,
+                            back_end ? back_end->service : ServiceName{});
+  this->events.Write(
+      "members changed",
+      {{"live", static_cast<std::int64_t>(live)},
+       {"endpoints", static_cast<std::int64_t>(endpoints.size())}});
+}
+
+// Back end --------------------------------------------------------------------
+
+// Tells the fleet what has changed of the back end beside this node.
+void Sidecar::TellBackEnd() {
+  const auto& back_end = this->owner.back_end();
+  const EndpointState state = this->owner.State();
+  if (!back_end || (state == this->told_state &&
+                    back_end->instance == this->told_instance)) {
+    return;
+  }
+  this->told_state = state;
+  this->told_instance = back_end->instance;
+  this->events.Write(
+      "back end",
+      {{"instance", back_end->instance},
+       {"service", back_end->service.value},
+       {"state", static_cast<std::int64_t>(state)},
+       {"slots", std::int64_t{back_end->slots}},
+       {"sequence", static_cast<std::int64_t>(back_end->sequence)}});
+  if (state == EndpointState::kDraining) {
+    this->membership.Drain();
+    return;
+  }
+  Endpoint endpoint;
+  endpoint.node = this->settings.address;
+  endpoint.zone = this->settings.zone;
+  endpoint.service = back_end->service;
+  endpoint.slots = back_end->slots;
+  endpoint.state = state;
+  endpoint.since = std::chrono::steady_clock::now();
+  this->membership.Announce(endpoint);
+}
+
+std::optional<HttpResponse> Sidecar::OnBackEndWord(const HttpRequest& request) {
+  const auto word = this->platform.ReadBackEndWord(request);
+  if (!word) {
+    this->events.Write("back end word unreadable", {{"error", word.error()}});
+    return MakeResponse(kBadRequest, "text/plain", word.error() + "\n");
+  }
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&*word)) {
+    const HeartbeatVerdict verdict = this->owner.OnHeartbeat(*heartbeat);
+    if (verdict == HeartbeatVerdict::kStale) {
+      this->events.Write(
+          "heartbeat stale",
+          {{"instance", heartbeat->instance},
+           {"sequence", static_cast<std::int64_t>(heartbeat->sequence)}});
+    }
+  } else {
+    const auto& goodbye = std::get<Goodbye>(*word);
+    const bool known = this->owner.OnGoodbye(goodbye.instance);
+    this->events.Write("back end leaves", {{"instance", goodbye.instance},
+                                           {"known", std::int64_t{known}}});
+  }
+  this->TellBackEnd();
+  return MakeResponse(kOk, "application/json", "{}");
+}
+
+// Readiness -------------------------------------------------------------------
+
+bool Sidecar::IsReady() const {
+  return this->has_config && !this->stopping;
+}
+
+HttpResponse Sidecar::OnReadiness() const {
+  return this->IsReady()
+             ? MakeResponse(kOk, "text/plain", "ready\n")
+             : MakeResponse(
+                   kUnavailable, "text/plain",
+                   this->stopping ? "stopping\n" : "no configuration yet\n");
+}
+
+// Reload and end --------------------------------------------------------------
+
+void Sidecar::Reload(const Settings& next) {
+  this->loop.Spawn([this, next] {
+    this->membership.AddSeeds(next.seeds);
+    this->entry.SetCaller(next.service);
+    this->settings.seeds = next.seeds;
+    this->settings.service = next.service;
+    this->events.Write(
+        "settings reloaded",
+        {{"service", next.service.value},
+         {"seeds", static_cast<std::int64_t>(next.seeds.size())}});
+  });
+}
+
+void Sidecar::Shutdown() {
+  this->loop.Spawn([this] { this->RunShutdown(); });
+  this->loop.Join();
+}
+
+void Sidecar::RunShutdown() {
+  const Instant began = std::chrono::steady_clock::now();
+  const Instant until = began +
+                        std::max(milliseconds(0), this->settings.bounds.grace) -
+                        kGraceMargin;
+  const auto in_progress = [this] {
+    return this->owner.calls_in_progress() + this->entry.calls_in_progress();
+  };
+  this->stopping = true;
+  this->owner.OnNodeStopping();
+  this->TellBackEnd();
+  this->events.Write("stopping",
+                     {{"calls", static_cast<std::int64_t>(in_progress())}});
+  this->loop.SleepFor(std::min<std::chrono::nanoseconds>(
+      kCallersLeave, until - std::chrono::steady_clock::now()));
+  // New connections are still taken: the back end makes calls of its own for
+  // what it runs.
+  this->front.CloseAfterAnswer();
+  this->front.CloseIdle();
+  while (in_progress() > 0 && std::chrono::steady_clock::now() < until) {
+    this->loop.SleepFor(kShutdownStep);
+  }
+  this->membership.Leave();
+  this->events.Write(
+      "stopped",
+      {{"calls", static_cast<std::int64_t>(in_progress())},
+       {"lines_dropped", static_cast<std::int64_t>(this->events.dropped())}});
+  this->events.Flush();
+  this->membership.Stop();
+  this->front.Close();
+  this->control.Close();
+  this->readiness.Close();
+  this->peers.Close();
+  this->owner.Close();
+  this->store->Close();
+  this->datagrams.Close();
+  this->loop.Stop();
+}
+
+}  // namespace tanagerledge
--- /dev/null
+++ b/src/sidecar/sidecar.h
@@ -0,0 +1,103 @@
+// One node on a platform that brings its own operator interface: every machine
+// and adapter of a process, wired together on one loop.
+//
+//   Sidecar sidecar(settings, platform, store);
+//   if (auto started = sidecar.Start(); !started) { /* started.error() */ }
+//   ...
+//   sidecar.Shutdown();   // Cuts no call in flight.
+
+#ifndef TANAGERLEDGE_SRC_SIDECAR_SIDECAR_H_
+#define TANAGERLEDGE_SRC_SIDECAR_SIDECAR_H_
+
+#include <prometheus/registry.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "src/adapters/datagram.h"
+#include "src/adapters/event_log.h"
+#include "src/adapters/fiber_io.h"
+#include "src/adapters/http_server.h"
+#include "src/adapters/peer_transport.h"
+#include "src/adapters/settings.h"
+#include "src/node/call_metrics.h"
+#include "src/node/membership_host.h"
+#include "src/node/suspect_host.h"
+#include "src/sidecar/config_host.h"
+#include "src/sidecar/mesh_entry.h"
+#include "src/sidecar/owner.h"
+#include "src/sidecar/platform_port.h"
+#include "tanagerledge/ports.h"
+
+namespace tanagerledge {
+
+class Sidecar {
+ public:
+  // Makes the store's client on the sidecar's loop.
+  using StoreMaker = std::function<std::unique_ptr<KeyedLogPort>(IoLoop&)>;
+
+  Sidecar(Settings settings,
+          const PlatformPort& platform,
+          const StoreMaker& make_store);
+  ~Sidecar();
+  Sidecar(const Sidecar&) = delete;
+  Sidecar& operator=(const Sidecar&) = delete;
+
+  // Binds every address and starts the loop; the error names what failed.
+  tl::expected<void, std::string> Start();
+
+  // Takes over what may change while running; the rest needs a new start.
+  void Reload(const Settings& next);
+
+  // Leaves the fleet, ends what is under way and stops, within the grace time.
+  void Shutdown();
+
+ private:
+  tl::expected<void, std::string> Listen();
+  PeerHandlers MakeHandlers();
+  void RunTicks();
+  void RunNodeDirectory();
+  bool JoinByStore();
+  void OnMembers(const std::vector<Member>& members);
+  void TellBackEnd();
+  std::optional<HttpResponse> OnBackEndWord(const HttpRequest& request);
+  HttpResponse OnReadiness() const;
+  bool IsReady() const;
+  void RunShutdown();
+
+  Settings settings;
+  const PlatformPort& platform;
+  PeerIdentity identity;
+  EventLog events;
+  std::shared_ptr<prometheus::Registry> registry;
+  CallMetrics metrics;
+  IoLoop loop;
+  PeerCounters peer_counters;
+  PeerHandlers handlers;
+  PeerTransport peers;
+  UdpPort datagrams;
+  std::unique_ptr<KeyedLogPort> store;
+  SuspectHost suspects;
+  Owner owner;
+  MeshEntry entry;
+  MembershipHost membership;
+  ConfigHost configs;
+  HttpServer front;
+  HttpServer control;
+  HttpServer readiness;
+
+  bool has_config = false;
+  bool stopping = false;
+  std::size_t live_members = 1;
+  // What the fleet was told last of the back end.
+  EndpointState told_state = EndpointState::kGone;
+  std::string told_instance;
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_SRC_SIDECAR_SIDECAR_H_
--- /dev/null
+++ b/tests/distribution/config_follower_test.cc
@@ -0,0 +1,89 @@
+#include "tanagerledge/config_follower.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+template <typename Action>
+bool Holds(const FollowActions& actions) {
+  return std::ranges::any_of(actions, [](const FollowAction& action) {
+    return std::holds_alternative<Action>(action);
+  });
+}
+
+class ConfigFollowerTest : public ::testing::Test {
+ protected:
+  FollowActions Tick(milliseconds after = milliseconds(0)) {
+    this->now += after;
+    return this->follower.Tick(this->now);
+  }
+
+  ConfigFollower follower;
+  Instant now = Instant{} + std::chrono::hours(1);
+};
+
+TEST_F(ConfigFollowerTest, Start_ReadsTheNewestThenFollows) {
+  EXPECT_TRUE(Holds<ReadNewestConfig>(this->Tick()));
+  EXPECT_TRUE(this->Tick(seconds(1)).empty()) << "one read at a time";
+  this->follower.OnNewest({4}, this->now);
+  const FollowActions next = this->Tick();
+  ASSERT_TRUE(Holds<ReadConfigRecords>(next));
+  EXPECT_EQ(std::get<ReadConfigRecords>(next.front()).from, LogOffset{4});
+}
+
+TEST_F(ConfigFollowerTest, OlderOrSameVersion_IsNeverTaken) {
+  EXPECT_TRUE(this->follower.Take(7));
+  EXPECT_FALSE(this->follower.Take(7));
+  EXPECT_FALSE(this->follower.Take(3));
+  EXPECT_TRUE(this->follower.Take(9));
+}
+
+TEST_F(ConfigFollowerTest, HistoryGone_ReadsTheNewestAgainAtOnce) {
+  this->Tick();
+  this->follower.OnNewest({4}, this->now);
+  this->Tick();
+  this->follower.OnStoreError(LogErrorKind::kExpired, this->now);
+  EXPECT_TRUE(Holds<ReadNewestConfig>(this->Tick()));
+}
+
+TEST_F(ConfigFollowerTest, StoreFails_PeersAreAskedAndTheStoreLessOften) {
+  this->Tick();
+  this->follower.OnStoreError(LogErrorKind::kUnavailable, this->now);
+  int reads = 0;
+  int questions = 0;
+  for (int i = 0; i < 200; ++i) {
+    const FollowActions actions = this->Tick(milliseconds(50));
+    if (Holds<ReadNewestConfig>(actions)) {
+      ++reads;
+      this->follower.OnStoreError(LogErrorKind::kUnavailable, this->now);
+    }
+    if (Holds<AskPeerForConfig>(actions)) {
+      ++questions;
+      this->follower.OnPeerAnswered(this->now);
+    }
+  }
+  // Ten seconds: the store about every 1.6 s, a peer twice a second.
+  EXPECT_LE(reads, 10);
+  EXPECT_GE(reads, 5);
+  EXPECT_GE(questions, 18);
+}
+
+TEST_F(ConfigFollowerTest, PeerMentionsANewerVersion_IsAskedAtOnce) {
+  this->Tick();
+  this->follower.OnNewest({4}, this->now);
+  this->follower.Take(7);
+  this->Tick();
+  this->follower.OnPeerVersion(7, this->now);
+  EXPECT_FALSE(Holds<AskPeerForConfig>(this->Tick()));
+  this->follower.OnPeerVersion(8, this->now);
+  EXPECT_TRUE(Holds<AskPeerForConfig>(this->Tick()));
+}
+
+}  // namespace
+}  // namespace tanagerledge
--- /dev/null
+++ b/tests/membership/back_end_life_test.cc
@@ -0,0 +1,115 @@
+#include "tanagerledge/back_end_life.h"
+
+#include <gtest/gtest.h>
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class BackEndLifeTest : public ::testing::Test {
+ protected:
+  Heartbeat Beat(std::string instance,
+                 std::int64_t born,
+                 std::uint64_t sequence,
+                 bool draining = false) const {
+    Heartbeat heartbeat;
+    heartbeat.instance = std::move(instance);
+    heartbeat.born_ms = born;
+    heartbeat.sequence = sequence;
+    heartbeat.service = this->service;
+    heartbeat.address = "10.0.0.1:80";
+    heartbeat.slots = 13;
+    heartbeat.draining = draining;
+    return heartbeat;
+  }
+
+  bool MayRun() const { return this->life.MayRun(this->service, this->now); }
+
+  BackEndLife life;
+  ServiceName service{"claims"};
+  Instant now = Instant{} + std::chrono::hours(1);
+};
+
+TEST_F(BackEndLifeTest, NotHeardOfYet_RunsNothing) {
+  EXPECT_FALSE(this->MayRun());
+  this->life.OnHeartbeat(this->Beat("i1", 5, 1), this->now);
+  EXPECT_TRUE(this->MayRun());
+}
+
+TEST_F(BackEndLifeTest, CallForAnotherService_IsNotRun) {
+  this->life.OnHeartbeat(this->Beat("i1", 5, 1), this->now);
+  EXPECT_FALSE(this->life.MayRun({"certifier"}, this->now));
+}
+
+TEST_F(BackEndLifeTest, Draining_RunsOnlyForATail) {
+  this->life.OnHeartbeat(this->Beat("i1", 5, 1), this->now);
+  this->life.OnHeartbeat(this->Beat("i1", 5, 2, true), this->now);
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kDraining);
+  EXPECT_TRUE(this->MayRun());
+  this->now += milliseconds(1001);
+  EXPECT_FALSE(this->MayRun());
+  // Further heartbeats do not begin the tail anew.
+  this->life.OnHeartbeat(this->Beat("i1", 5, 3, true), this->now);
+  EXPECT_FALSE(this->MayRun());
+}
+
+TEST_F(BackEndLifeTest, LateReadyHeartbeatAfterDrain_ChangesNothing) {
+  this->life.OnHeartbeat(this->Beat("i1", 5, 7, true), this->now);
+  EXPECT_EQ(this->life.OnHeartbeat(this->Beat("i1", 5, 6), this->now),
+            HeartbeatVerdict::kStale);
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kDraining);
+}
+
+TEST_F(BackEndLifeTest, HeartbeatAfterGoodbye_ChangesNothing) {
+  this->life.OnHeartbeat(this->Beat("i1", 5, 1), this->now);
+  EXPECT_TRUE(this->life.OnLeave("i1", this->now));
+  EXPECT_EQ(this->life.OnHeartbeat(this->Beat("i1", 5, 9), this->now),
+            HeartbeatVerdict::kStale);
+  this->now += seconds(2);
+  EXPECT_FALSE(this->MayRun());
+}
+
+TEST_F(BackEndLifeTest, SameNameStartsAnew_CountsAnew) {
+  this->life.OnHeartbeat(this->Beat("i1", 5, 40), this->now);
+  this->life.OnLeave("i1", this->now);
+  EXPECT_EQ(this->life.OnHeartbeat(this->Beat("i1", 9, 1), this->now),
+            HeartbeatVerdict::kChanged);
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kReady);
+}
+
+TEST_F(BackEndLifeTest, HeartbeatOfAnEarlierStart_ChangesNothing) {
+  this->life.OnHeartbeat(this->Beat("i1", 5, 3), this->now);
+  this->life.OnHeartbeat(this->Beat("i2", 9, 1), this->now);
+  EXPECT_EQ(this->life.OnHeartbeat(this->Beat("i1", 5, 4), this->now),
+            HeartbeatVerdict::kStale);
+  EXPECT_EQ(this->life.known()->instance, "i2");
+}
+
+TEST_F(BackEndLifeTest, LateHeartbeatOfAStartNeverSeen_ChangesNothing) {
+  this->life.OnHeartbeat(this->Beat("i2", 9, 1), this->now);
+  EXPECT_EQ(this->life.OnHeartbeat(this->Beat("i0", 4, 30), this->now),
+            HeartbeatVerdict::kStale);
+}
+
+TEST_F(BackEndLifeTest, Died_IsBackWithItsNextHeartbeat) {
+  this->life.OnHeartbeat(this->Beat("i1", 5, 1), this->now);
+  this->life.OnDied("i1");
+  EXPECT_FALSE(this->MayRun());
+  EXPECT_EQ(this->life.OnHeartbeat(this->Beat("i1", 5, 2), this->now),
+            HeartbeatVerdict::kChanged);
+  EXPECT_TRUE(this->MayRun());
+}
+
+TEST_F(BackEndLifeTest, Silent_IsGoneUntilItSpeaks) {
+  this->life.OnHeartbeat(this->Beat("i1", 5, 1), this->now);
+  this->now += milliseconds(4501);
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kGone);
+  EXPECT_FALSE(this->MayRun());
+  this->life.OnHeartbeat(this->Beat("i1", 5, 2), this->now);
+  EXPECT_TRUE(this->MayRun());
+}
+
+}  // namespace
+}  // namespace tanagerledge
--- /dev/null
+++ b/tests/platform/platform_test.cc
@@ -0,0 +1,201 @@
+#include "platform/platform.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "platform/operator_config.h"
+
+namespace tanagerledge::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+class PlatformTest : public ::testing::Test {
+ protected:
+  static HttpResponse Answer(int status, std::vector<HttpHeader> headers) {
+    HttpResponse answer;
+    answer.status = status;
+    answer.headers = std::move(headers);
+    return answer;
+  }
+
+  static HttpRequest Beat(std::string body) {
+    HttpRequest request;
+    request.method = "PUT";
+    request.target = "/instances/i-1";
+    request.body = std::move(body);
+    return request;
+  }
+
+  const Platform platform;
+};
+
+// Requests --------------------------------------------------------------------
+
+TEST_F(PlatformTest, CallerSetsOurFields_TheyAreNotPassedOn) {
+  HttpRequest request;
+  request.headers = {{"Host", "a.example"},
+                     {"X-Attempt-Id", "id-1"},
+                     {"X-Deadline-Ms", "1500"},
+                     {"X-Caller-Service", "forged"},
+                     {"x-expect-instance", "forged"},
+                     {"Connection", "close"},
+                     {"X-Own", "kept"}};
+  const auto caller = this->platform.ReadCaller(request);
+  ASSERT_TRUE(caller.has_value());
+  EXPECT_EQ(caller->attempt_id, "id-1");
+  EXPECT_EQ(caller->patience, milliseconds(1500));
+  wire::CallRequest call;
+  call.attempt_id = caller->attempt_id;
+  call.customer = "claims";
+  call.headers = caller->headers;
+  const HttpRequest out =
+      this->platform.ToBackEnd(call, "i-1", milliseconds(900));
+  EXPECT_EQ(out.Header("X-Caller-Service"), "claims");
+  EXPECT_EQ(out.Header("X-Expect-Instance"), "i-1");
+  EXPECT_EQ(out.Header("X-Deadline-Ms"), "900");
+  EXPECT_EQ(out.Header("X-Own"), "kept");
+  EXPECT_EQ(out.Header("Connection"), "");
+  EXPECT_EQ(std::ranges::count_if(out.headers,
+                                  [](const HttpHeader& header) {
+                                    return header.value == "forged";
+                                  }),
+            0);
+}
+
+TEST_F(PlatformTest, NoAttemptId_IsAnError) {
+  EXPECT_FALSE(this->platform.ReadCaller({}).has_value());
+}
+
+TEST_F(PlatformTest, Refusal_SaysNotRunAndWhenToComeBack) {
+  const HttpResponse response = this->platform.ToCaller(
+      {Outcome::kNotRun, Reason::kOverloaded, milliseconds(125)});
+  EXPECT_EQ(response.status, 503);
+  EXPECT_EQ(response.Header("Retry-After"), "0.125");
+}
+
+TEST_F(PlatformTest, MayHaveRun_IsNeverAStatusThatPromisesNotRun) {
+  for (const Reason reason :
+       {Reason::kDeadline, Reason::kConnectionLost, Reason::kOverloaded}) {
+    const int status =
+        this->platform.ToCaller({Outcome::kUnknown, reason}).status;
+    EXPECT_TRUE(status == 502 || status == 504) << status;
+  }
+}
+
+// Answers ---------------------------------------------------------------------
+
+TEST_F(PlatformTest, AnswerWithStampAndId_IsAnswered) {
+  const auto answer =
+      Answer(200, {{"X-Attempt-Id", "a"}, {"X-Server-Stamp", "s"}});
+  EXPECT_EQ(this->platform.Judge(answer, "a"), AnswerKind::kAnswered);
+}
+
+TEST_F(PlatformTest, AnswerToAnotherAttempt_IsNotForThisOne) {
+  const auto answer =
+      Answer(200, {{"X-Attempt-Id", "b"}, {"X-Server-Stamp", "s"}});
+  EXPECT_FALSE(this->platform.IsFor(answer, "a"));
+  EXPECT_EQ(this->platform.Judge(answer, "a"), AnswerKind::kSpoilt);
+}
+
+TEST_F(PlatformTest, SuccessWithoutStamp_IsSpoilt) {
+  EXPECT_EQ(this->platform.Judge(Answer(200, {{"X-Attempt-Id", "a"}}), "a"),
+            AnswerKind::kSpoilt);
+}
+
+TEST_F(PlatformTest, BackEndSaysNotRun_IsNotRun) {
+  EXPECT_EQ(this->platform.Judge(Answer(503, {{"X-Not-Executed", "1"}}), "a"),
+            AnswerKind::kNotRun);
+  EXPECT_EQ(this->platform.Judge(Answer(421, {}), "a"),
+            AnswerKind::kWrongInstance);
+}
+
+TEST_F(PlatformTest, StatusThatPromisesNotRunWithoutTheField_IsNotBelieved) {
+  EXPECT_EQ(this->platform.Judge(Answer(503, {}), "a"), AnswerKind::kSpoilt);
+}
+
+// Back ends -------------------------------------------------------------------
+
+TEST_F(PlatformTest, WholeHeartbeat_IsRead) {
+  const auto word = this->platform.ReadBackEndWord(Beat(
+      R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",
+          "slots":18,"state":"draining","cold_remaining_ms":250,"sequence":4,
+          "born":1700000000123})"));
+  ASSERT_TRUE(word.has_value()) << word.error();
+  const auto& heartbeat = std::get<Heartbeat>(*word);
+  EXPECT_EQ(heartbeat.instance, "i-1");
+  EXPECT_EQ(heartbeat.service.value, "s");
+  EXPECT_EQ(heartbeat.slots, 18);
+  EXPECT_TRUE(heartbeat.draining);
+  EXPECT_EQ(heartbeat.cold_left, milliseconds(250));
+  EXPECT_EQ(heartbeat.sequence, 4U);
+  EXPECT_EQ(heartbeat.born_ms, 1700000000123);
+}
+
+TEST_F(PlatformTest, SpoiltHeartbeat_NamesNoBackEnd) {
+  for (
+      const char* body :
+      {"", "{", "[]", R"({"service":"s"})",
+       R"({"service":1,"address":"10.0.0.9:1","slots":1,"state":"ready","sequence":1})",
+       R"({"service":"s","address":"10.0.0.9:1","slots":1,"state":"odd","sequence":1})",
+       R"({"service":"s","address":"nowhere","slots":1,"state":"ready","sequence":1})",
+       R"({"service":"s","address":"10.0.0.9:1","slots":-1,"state":"ready","sequence":1})",
+       "\xff\xfe\x01"}) {
+    EXPECT_FALSE(this->platform.ReadBackEndWord(Beat(body)).has_value())
+        << body;
+  }
+}
+
+TEST_F(PlatformTest, Delete_IsAGoodbye) {
+  HttpRequest request;
+  request.method = "DELETE";
+  request.target = "/instances/i-7";
+  const auto word = this->platform.ReadBackEndWord(request);
+  ASSERT_TRUE(word.has_value());
+  EXPECT_EQ(std::get<Goodbye>(*word).instance, "i-7");
+}
+
+// Configuration ---------------------------------------------------------------
+
+TEST_F(PlatformTest, WholeConfiguration_IsRead) {
+  const auto mesh = ReadOperatorConfig(R"({"version":7,
+      "routes":{
+        "r1":{"host":"A.example","path_prefix":"/x/","kind":"non_idempotent",
+              "timeout_ms":1000,"target_latency_ms":600,"priority":2,
+              "service":"s1","max_attempts":2},
+        "r2":{"host":"b.example","path_prefix":"/","kind":"idempotent",
+              "timeout_ms":800,"target_latency_ms":250,"priority":1,
+              "weighted_services":[{"service":"s1","weight":90},
+                                   {"service":"s2","weight":10},
+                                   {"service":"s3","weight":0}]}},
+      "services":{"s1":{"health_path":"/h","max_connections":130}},
+      "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,
+                "header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+  ASSERT_TRUE(mesh.has_value()) << mesh.error();
+  EXPECT_EQ((*mesh)->version(), 7U);
+  const MeshRoute* first = (*mesh)->Match("a.example", "/x/1");
+  ASSERT_NE(first, nullptr);
+  EXPECT_FALSE(first->idempotent);
+  EXPECT_EQ(first->max_attempts, 2);
+  EXPECT_EQ(first->timeout, milliseconds(1000));
+  EXPECT_EQ(first->target, milliseconds(600));
+  const MeshRoute* second = (*mesh)->Match("b.example", "/any");
+  ASSERT_NE(second, nullptr);
+  EXPECT_TRUE(second->idempotent);
+  EXPECT_EQ(second->services.size(), 2U);
+  EXPECT_EQ((*mesh)->Service({"s1"})->health_path, "/h");
+  EXPECT_EQ((*mesh)->limits().idle_timeout, milliseconds(15000));
+}
+
+TEST_F(PlatformTest, SpoiltConfiguration_IsRefusedWithThePlace) {
+  const auto broken = ReadOperatorConfig(
+      R"({"version":7,"routes":{"r1":{"host":"a"}},"services":{}})");
+  ASSERT_FALSE(broken.has_value());
+  EXPECT_NE(broken.error().find("route r1"), std::string::npos);
+  EXPECT_FALSE(ReadOperatorConfig("{").has_value());
+  EXPECT_FALSE(ReadOperatorConfig("").has_value());
+}
+
+}  // namespace
+}  // namespace tanagerledge::platform
--- /dev/null
+++ b/tests/routing/placement_test.cc
@@ -0,0 +1,128 @@
+#include "tanagerledge/placement.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+Endpoint EndpointAt(std::string node,
+                    std::string zone,
+                    EndpointState state = EndpointState::kReady) {
+  Endpoint endpoint;
+  endpoint.node = {std::move(node)};
+  endpoint.zone = {std::move(zone)};
+  endpoint.service = {"archive"};
+  endpoint.slots = 10;
+  endpoint.state = state;
+  return endpoint;
+}
+
+LoadReport Load(int running, int queued, milliseconds work) {
+  LoadReport load;
+  load.limit = 10;
+  load.running = running;
+  load.queued = queued;
+  load.service_time = work;
+  return load;
+}
+
+class PlacementTest : public ::testing::Test {
+ protected:
+  void Report(const std::string& node, const LoadReport& load) {
+    this->placement.OnSent({node});
+    this->placement.OnReply({node}, load, this->now);
+  }
+
+  std::string Choose(std::vector<NodeId> tried = {}) const {
+    PlacementAsk ask;
+    ask.service = {"archive"};
+    ask.tried = tried;
+    ask.target = milliseconds(250);
+    const auto node = this->placement.Choose(ask, this->now);
+    return node ? node->value : "";
+  }
+
+  Placement placement{{"self"}, {"a"}};
+  Instant now = Instant{} + std::chrono::hours(1);
+};
+
+TEST_F(PlacementTest, NothingKnownOfLoad_OwnZoneIsTaken) {
+  this->placement.SetEndpoints(
+      {EndpointAt("far", "b"), EndpointAt("near", "a")});
+  EXPECT_EQ(this->Choose(), "near");
+}
+
+TEST_F(PlacementTest, OwnZoneHasALongQueue_AnotherZoneIsTaken) {
+  this->placement.SetEndpoints(
+      {EndpointAt("far", "b"), EndpointAt("near", "a")});
+  this->Report("near", Load(10, 30, milliseconds(80)));
+  this->Report("far", Load(2, 0, milliseconds(80)));
+  EXPECT_EQ(this->Choose(), "far");
+}
+
+TEST_F(PlacementTest, OwnZoneIsABitBusier_StaysInOwnZone) {
+  this->placement.SetEndpoints(
+      {EndpointAt("far", "b"), EndpointAt("near", "a")});
+  this->Report("near", Load(9, 0, milliseconds(80)));
+  this->Report("far", Load(1, 0, milliseconds(80)));
+  EXPECT_EQ(this->Choose(), "near");
+}
+
+TEST_F(PlacementTest, OneBackEndTurnedSlow_IsLeftOut) {
+  this->placement.SetEndpoints(
+      {EndpointAt("slow", "a"), EndpointAt("fast", "a")});
+  this->Report("slow", Load(2, 0, milliseconds(400)));
+  this->Report("fast", Load(8, 0, milliseconds(80)));
+  EXPECT_EQ(this->Choose(), "fast");
+}
+
+TEST_F(PlacementTest, OneBackEndFailsMuch_IsLeftOut) {
+  this->placement.SetEndpoints(
+      {EndpointAt("grey", "a"), EndpointAt("good", "b")});
+  LoadReport failing = Load(1, 0, milliseconds(50));
+  failing.failing_permille = 450;
+  this->Report("grey", failing);
+  this->Report("good", Load(8, 0, milliseconds(80)));
+  EXPECT_EQ(this->Choose(), "good");
+}
+
+TEST_F(PlacementTest, BurstBetweenReports_SpreadsByOwnCallsInFlight) {
+  this->placement.SetEndpoints(
+      {EndpointAt("one", "a"), EndpointAt("two", "a")});
+  this->Report("one", Load(0, 0, milliseconds(80)));
+  this->Report("two", Load(0, 0, milliseconds(80)));
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 20; ++i) {
+    const std::string node = this->Choose();
+    ++sent[node];
+    this->placement.OnSent({node});
+  }
+  EXPECT_EQ(sent["one"], 10);
+  EXPECT_EQ(sent["two"], 10);
+}
+
+TEST_F(PlacementTest, TriedAndUnreachable_AreTakenLast) {
+  this->placement.SetEndpoints(
+      {EndpointAt("one", "a"), EndpointAt("two", "a")});
+  this->placement.OnSent({"one"});
+  this->placement.OnUnreachable({"one"}, this->now);
+  EXPECT_EQ(this->Choose(), "two");
+  EXPECT_EQ(this->Choose({{"two"}}), "one");
+  EXPECT_EQ(this->Choose({{"one"}, {"two"}}), "");
+}
+
+TEST_F(PlacementTest, DrainingOrGone_IsNeverTaken) {
+  this->placement.SetEndpoints(
+      {EndpointAt("going", "a", EndpointState::kDraining),
+       EndpointAt("gone", "a", EndpointState::kGone)});
+  EXPECT_EQ(this->Choose(), "");
+}
+
+}  // namespace
+}  // namespace tanagerledge
