--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -56,8 +56,8 @@
   20: bool nested
   /** Was turned away before and came back. */
   21: bool returning
-  /** Names this send of the attempt, so that it may be asked for later. */
-  22: string send_id
+  /** Names this send among all of its node, so that it may be asked for. */
+  22: i64 send_id
 }
 
 struct CallReply {
@@ -78,7 +78,7 @@
 
 /** What became of a send whose reply was lost with its connection. */
 struct SendQuestion {
-  1: string send_id
+  1: i64 send_id
   /** The start of the node that it was sent to. */
   2: i64 incarnation
   3: i64 remaining_us
@@ -86,7 +86,21 @@
 
 /** The caller behind a send has gone. */
 struct SendCancel {
-  1: string send_id
+  1: i64 send_id
+}
+
+/** What the store's list of nodes says of one: hints for nodes that start. */
+struct NodeRecord {
+  1: string zone
+  /** The back end beside the node; empty before the first. */
+  2: string service_name
+  3: string instance
+  4: i64 born_ms
+  5: i64 sequence
+  6: string address
+  7: i32 slots
+  /** A value of EndpointState. */
+  8: i32 state
 }
 
 /** The configuration that a node has, when it is newer than `known_version`. */
--- a/include/tanagerledge/back_end_life.h
+++ b/include/tanagerledge/back_end_life.h
@@ -56,6 +56,9 @@
   // Events -------------------------------------------------------------------
 
   HeartbeatVerdict OnHeartbeat(const Heartbeat& heartbeat, Instant now);
+  // What an earlier start of this node had written down, and the back end has
+  // just confirmed. Ignored once a heartbeat came.
+  void OnRecalled(const Heartbeat& heartbeat, Instant now);
   // The back end says that it goes; it serves on for a moment. True when it was
   // the one that is known.
   bool OnLeave(const std::string& instance, Instant now);
--- a/include/tanagerledge/config_follower.h
+++ b/include/tanagerledge/config_follower.h
@@ -44,9 +44,11 @@
   // How long the store holds a read without news. A connection that went silent
   // is noticed after this; a store call is priced, so it is not shorter.
   std::chrono::milliseconds wait{10000};
-  // Between a failed read and the next; doubled up to the longest.
+  // Between a failed read and the next; doubled up to the longest. With the
+  // time that a read of a silent store takes, a node is back within 2 s of the
+  // store: the platform's bounds hold again 3 s after it.
   std::chrono::milliseconds retry{200};
-  std::chrono::milliseconds longest_retry{1600};
+  std::chrono::milliseconds longest_retry{600};
   // Between questions to peers while the store does not answer.
   std::chrono::milliseconds peer_interval{500};
 };
--- a/include/tanagerledge/fleet_retry_budget.h
+++ b/include/tanagerledge/fleet_retry_budget.h
@@ -23,8 +23,8 @@
   double ratio = 0.2;  // Retries for each request.
   double extra = 10;   // Of the whole fleet in a window.
   std::chrono::milliseconds window{10000};
-  // Part of the budget that is left unspent: calls that a repeated run makes
-  // count as repeats as well, and nodes may disagree on how many live.
+  // Part of the budget that is left unspent: calls that repeated runs make on
+  // other nodes count as well, and nodes may disagree on how many live.
   double reserve = 0.4;
 };
 
@@ -39,6 +39,10 @@
   // A request for the service was sent on for the first time.
   void OnRequest(const ServiceName& service, Instant now);
 
+  // A request that a repeated run made: it counts as a repeat of the service
+  // that it goes to, and can't be held back without failing its parent.
+  void OnRepeat(const ServiceName& service, Instant now);
+
   // Takes one retry; false when the budget is spent.
   bool TrySpend(const ServiceName& service, Instant now);
 
--- a/include/tanagerledge/outcome.h
+++ b/include/tanagerledge/outcome.h
@@ -29,6 +29,8 @@
   kBadRequest = 13,
   kSessionBehind = 14,
   kShuttingDown = 15,
+  // A service that calls of this kind depend on turns their calls away.
+  kDependencyOverloaded = 16,
 };
 
 std::string_view ToText(Outcome outcome);
--- a/include/tanagerledge/placement.h
+++ b/include/tanagerledge/placement.h
@@ -37,6 +37,9 @@
   // Every endpoint known, of all services; those gone or draining are left out.
   void SetEndpoints(const std::vector<Endpoint>& endpoints);
 
+  // Whether a call to the node would leave at once. Taken as so until told.
+  void SetConnected(const NodeId& node, bool connected);
+
   // The node to send to, or nothing when no endpoint of the service is left.
   std::optional<NodeId> Choose(const PlacementAsk& ask, Instant now) const;
 
@@ -61,11 +64,13 @@
     int in_flight = 0;            // Own calls there now.
     int in_flight_at_report = 0;  // Of these, when the report was made.
     Instant unreachable_until{};
+    bool connected = true;
   };
 
-  std::chrono::microseconds Score(const Place& place,
-                                  const PlacementAsk& ask,
-                                  Instant now) const;
+  double Cost(const Place& place, const PlacementAsk& ask, Instant now) const;
+  static std::chrono::microseconds ExpectedTime(const Place& place,
+                                                const Evidence& evidence,
+                                                Instant now);
 
   NodeId self;
   Zone zone;
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -1,5 +1,7 @@
 #include "src/adapters/http_client.h"
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -21,6 +23,15 @@
 
 namespace {
 
+template <int name>
+using IntOption =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, name>;
+
+// A silent server is noticed after about 3 s.
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbesLost = 2;
+constexpr int kSilenceMs = 2500;
+
 http::request<http::string_body> ToBeast(const HttpRequest& from,
                                          std::string_view host) {
   constexpr unsigned kHttp11 = 11;
@@ -189,7 +200,19 @@
         false, "cannot connect to " + this->host + ": " + error.message()});
   }
   boost::system::error_code ignored;
-  connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+  tcp::socket& socket = connection->stream.socket();
+  socket.set_option(tcp::no_delay(true), ignored);
+  if (this->options.probe_silence) {
+    using Idle = IntOption<TCP_KEEPIDLE>;
+    using Interval = IntOption<TCP_KEEPINTVL>;
+    using Count = IntOption<TCP_KEEPCNT>;
+    using UserTimeout = IntOption<TCP_USER_TIMEOUT>;
+    socket.set_option(tcp::socket::keep_alive(true), ignored);
+    socket.set_option(Idle(kProbeAfterSeconds), ignored);
+    socket.set_option(Interval(kProbeAfterSeconds), ignored);
+    socket.set_option(Count(kProbesLost), ignored);
+    socket.set_option(UserTimeout(kSilenceMs), ignored);
+  }
   return connection;
 }
 
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -43,6 +43,9 @@
   // in its Keep-Alive field is believed.
   std::chrono::milliseconds max_idle_time{60000};
   std::chrono::milliseconds connect_timeout{60000};
+  // Probes of the operating system end a connection whose server has gone
+  // silent, also in the middle of a long wait for an answer.
+  bool probe_silence = false;
 };
 
 // What a caller may ask of one exchange. Everything is optional.
--- a/src/distribution/config_follower.cc
+++ b/src/distribution/config_follower.cc
@@ -9,7 +9,11 @@
   if (!this->reading && now >= this->next_read) {
     this->reading = true;
     if (this->next) {
-      out.emplace_back(ReadConfigRecords{*this->next, this->config.wait});
+      // A store that just failed is asked for what it has: an answer at once
+      // tells that it is back, and what was missed.
+      const auto wait =
+          this->failures > 0 ? std::chrono::milliseconds(0) : this->config.wait;
+      out.emplace_back(ReadConfigRecords{*this->next, wait});
     } else {
       out.emplace_back(ReadNewestConfig{});
     }
--- a/src/execution/fleet_retry_budget.cc
+++ b/src/execution/fleet_retry_budget.cc
@@ -24,6 +24,10 @@
   ++this->SliceAt(this->windows[service], now).requests;
 }
 
+void FleetRetryBudget::OnRepeat(const ServiceName& service, Instant now) {
+  ++this->SliceAt(this->windows[service], now).retries;
+}
+
 bool FleetRetryBudget::TrySpend(const ServiceName& service, Instant now) {
   Window& window = this->windows[service];
   Slice& newest = this->SliceAt(window, now);
--- a/src/execution/outcome.cc
+++ b/src/execution/outcome.cc
@@ -9,22 +9,24 @@
 constexpr std::array<std::string_view, 3> kOutcomeTexts = {"ok", "not-run",
                                                            "unknown"};
 
-constexpr std::array<std::string_view, 16> kReasonTexts = {"none",
-                                                           "no-route",
-                                                           "node-not-ready",
-                                                           "no-endpoint",
-                                                           "overloaded",
-                                                           "deadline",
-                                                           "draining",
-                                                           "peer-unreachable",
-                                                           "connection-lost",
-                                                           "backend-refused",
-                                                           "quarantined",
-                                                           "duplicate",
-                                                           "key-unsettled",
-                                                           "bad-request",
-                                                           "session-behind",
-                                                           "shutting-down"};
+constexpr std::array<std::string_view, 17> kReasonTexts = {
+    "none",
+    "no-route",
+    "node-not-ready",
+    "no-endpoint",
+    "overloaded",
+    "deadline",
+    "draining",
+    "peer-unreachable",
+    "connection-lost",
+    "backend-refused",
+    "quarantined",
+    "duplicate",
+    "key-unsettled",
+    "bad-request",
+    "session-behind",
+    "shutting-down",
+    "dependency-overloaded"};
 
 }  // namespace
 
--- a/src/membership/back_end_life.cc
+++ b/src/membership/back_end_life.cc
@@ -39,6 +39,13 @@
   return same ? HeartbeatVerdict::kTaken : HeartbeatVerdict::kChanged;
 }
 
+void BackEndLife::OnRecalled(const Heartbeat& heartbeat, Instant now) {
+  if (!this->current) {
+    this->current = heartbeat;
+    this->heard = now;
+  }
+}
+
 bool BackEndLife::OnLeave(const std::string& instance, Instant now) {
   if (!this->current || this->current->instance != instance) {
     return false;
--- a/src/node/call_messages.cc
+++ b/src/node/call_messages.cc
@@ -56,7 +56,7 @@
 }
 
 Reason ReasonOf(const wire::CallReply& reply) {
-  return InRange(reply.reason, Reason::kShuttingDown, Reason::kNone);
+  return InRange(reply.reason, Reason::kDependencyOverloaded, Reason::kNone);
 }
 
 FinishKind FinishKindOf(const wire::CallReply& reply) {
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
 
 namespace tanagerledge {
 namespace {
@@ -15,12 +14,21 @@
 constexpr milliseconds kReportHalfLife{250};
 // A node that could not be reached is left out so long, unless it is the last.
 constexpr milliseconds kUnreachablePause{500};
-// Crossing zones costs bytes that are paid for; it must save this part of the
-// target time to be worth it.
-constexpr double kZoneCostShare = 0.35;
-constexpr microseconds kZoneCostLeast{20'000};
-// A call that fails is repeated or lost: counted as this many targets of time.
-constexpr double kFailureCostTargets = 3.0;
+// The risk to miss the target grows from this part of it, up to the whole risk
+// where the expected time is the target: work times vary by about half.
+constexpr double kSafeShare = 0.5;
+// Past the target each further one costs this much more.
+constexpr double kLateCost = 0.5;
+// Crossing zones is worth it when it takes off this much of the risk: its bytes
+// are paid for, and a call that is in time in its own zone gains nothing.
+constexpr double kZoneCost = 0.35;
+// Among places without risk the quicker one: reports are never quite fresh.
+constexpr double kTimeCost = 0.1;
+// A call that fails is repeated or lost.
+constexpr double kFailureCost = 1.5;
+constexpr double kUnreachableCost = 100.0;
+// Work without a target is placed as if it had this one.
+constexpr milliseconds kLeastTarget{100};
 // Taken for the time of work at a node that has not reported yet.
 constexpr microseconds kUnknownWork{1'000};
 
@@ -36,15 +44,13 @@
 
 void Placement::SetEndpoints(const std::vector<Endpoint>& endpoints) {
   this->by_service.clear();
-  const auto open = [](const Endpoint& endpoint) {
-    return endpoint.state == EndpointState::kReady ||
-           endpoint.state == EndpointState::kWarming;
-  };
-  std::ranges::for_each(endpoints | std::views::filter(open),
-                        [this](const Endpoint& endpoint) {
-                          this->by_service[endpoint.service].push_back(
-                              {endpoint.node, endpoint.zone, endpoint.slots});
-                        });
+  std::ranges::for_each(endpoints, [this](const Endpoint& endpoint) {
+    if (endpoint.state == EndpointState::kReady ||
+        endpoint.state == EndpointState::kWarming) {
+      this->by_service[endpoint.service].push_back(
+          {endpoint.node, endpoint.zone, endpoint.slots});
+    }
+  });
 }
 
 std::optional<NodeId> Placement::Choose(const PlacementAsk& ask,
@@ -54,28 +60,49 @@
     return std::nullopt;
   }
   const Place* best = nullptr;
-  microseconds best_score{0};
-  const auto untried = [&ask](const Place& place) {
-    return std::ranges::find(ask.tried, place.node) == ask.tried.end();
-  };
-  for (const Place& place : found->second | std::views::filter(untried)) {
-    const microseconds score = this->Score(place, ask, now);
-    if (best == nullptr || score < best_score) {
+  double best_cost = 0;
+  std::ranges::for_each(found->second, [&](const Place& place) {
+    if (std::ranges::find(ask.tried, place.node) != ask.tried.end()) {
+      return;
+    }
+    const double cost = this->Cost(place, ask, now);
+    if (best == nullptr || cost < best_cost) {
       best = &place;
-      best_score = score;
+      best_cost = cost;
     }
-  }
+  });
   return best == nullptr ? std::nullopt : std::optional(best->node);
 }
 
-// Expected time to the answer, with what crossing zones and failures cost.
-microseconds Placement::Score(const Place& place,
-                              const PlacementAsk& ask,
-                              Instant now) const {
+// What is lost by placing the call there, where a missed target is 1.
+double Placement::Cost(const Place& place,
+                       const PlacementAsk& ask,
+                       Instant now) const {
   static const Evidence kNothing;
   const auto found = this->seen.find(place.node);
   const Evidence& evidence =
       found == this->seen.end() ? kNothing : found->second;
+  const microseconds target = std::max<microseconds>(ask.target, kLeastTarget);
+  const double expected =
+      static_cast<double>(ExpectedTime(place, evidence, now).count()) /
+      static_cast<double>(target.count());
+  const double risk =
+      std::clamp((expected - kSafeShare) / (1.0 - kSafeShare), 0.0, 1.0);
+  double cost = risk * risk + kLateCost * std::max(0.0, expected - 1.0) +
+                kTimeCost * expected;
+  cost += place.zone == this->zone ? 0.0 : kZoneCost;
+  cost += kFailureCost * evidence.load.failing_permille / 1000.0;
+  const bool reachable =
+      evidence.connected && now >= evidence.unreachable_until;
+  cost += reachable ? 0.0 : kUnreachableCost;
+  return cost;
+}
+
+// From the send to the end of the work: behind what is there already, as far as
+// this node knows.
+microseconds Placement::ExpectedTime(const Place& place,
+                                     const Evidence& evidence,
+                                     Instant now) {
   const double age = static_cast<double>(
       duration_cast<microseconds>(now - evidence.reported).count());
   const double say = std::exp2(
@@ -87,19 +114,13 @@
       std::max(1, evidence.load.limit > 0 ? evidence.load.limit : place.slots);
   const microseconds work = std::max(kUnknownWork, evidence.load.service_time);
   const double waiting = std::max(0.0, busy + 1 - slots);
-  microseconds score = work + Scaled(work, waiting / slots);
-  // Among nodes with free slots the emptier one: reports are never quite fresh.
-  score += Scaled(work, 0.2 * std::min(1.0, busy / slots));
-  if (place.zone != this->zone) {
-    score += std::max(kZoneCostLeast, Scaled(ask.target, kZoneCostShare));
-  }
-  score +=
-      Scaled(std::max(ask.target, work),
-             kFailureCostTargets * evidence.load.failing_permille / 1000.0);
-  if (now < evidence.unreachable_until) {
-    score += std::chrono::seconds(60);
-  }
-  return score;
+  // Near full slots some of the others' calls are not known of yet.
+  const double filling = 0.2 * std::min(1.0, busy / slots);
+  return work + Scaled(work, waiting / slots + filling);
+}
+
+void Placement::SetConnected(const NodeId& node, bool connected) {
+  this->seen[node].connected = connected;
 }
 
 void Placement::OnSent(const NodeId& node) {
--- a/src/sidecar/config_host.cc
+++ b/src/sidecar/config_host.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <utility>
 #include <variant>
 
@@ -14,7 +13,10 @@
 using std::chrono::milliseconds;
 
 // The store answers in some ms; a slow one takes up to 60 times as long.
-constexpr milliseconds kStoreTimeout{1500};
+constexpr milliseconds kStoreTimeout{1200};
+// After a failure of the store other nodes may be cut from it for as long: the
+// platform's outages last some seconds.
+constexpr std::chrono::seconds kTellPeersFor{15};
 constexpr milliseconds kPeerTimeout{800};
 constexpr std::size_t kRecordsPerRead = 64;
 
@@ -110,6 +112,7 @@
     this->store_was_answering = false;
     this->events.Write("store does not answer", {{"error", error.text}});
   }
+  this->tell_peers_until = Now() + kTellPeersFor;
   this->follower.OnStoreError(error.kind, Now());
 }
 
@@ -119,15 +122,18 @@
   // Peers take turns: one that is as cut off as this node is no help.
   std::ranges::rotate(this->others,
                       this->others.begin() + (this->others.empty() ? 0 : 1));
-  const auto connected = std::ranges::find_if(
+  const auto first = std::ranges::find_if(
       this->others,
       [this](const NodeId& node) { return this->peers.IsConnected(node); });
-  if (connected != this->others.end()) {
-    const NodeId peer = *connected;
+  const auto peer = this->newer_peer
+                        ? std::exchange(this->newer_peer, std::nullopt)
+                    : first != this->others.end() ? std::optional(*first)
+                                                  : std::nullopt;
+  if (peer) {
     wire::ConfigQuestion question;
     question.known_version =
         static_cast<std::int64_t>(this->follower.version().value_or(0));
-    const auto bytes = this->peers.Request(peer, Channel::kConfig,
+    const auto bytes = this->peers.Request(*peer, Channel::kConfig,
                                            Encode(question), kPeerTimeout);
     if (bytes) {
       auto answer = Decode<wire::ConfigAnswer>(*bytes);
@@ -152,6 +158,29 @@
   return Encode(answer);
 }
 
+void ConfigHost::OnPeerNotice(const NodeId& from, std::string_view bytes) {
+  const auto notice = Decode<wire::ConfigAnswer>(bytes);
+  if (!notice || notice->version < 0) {
+    return;
+  }
+  const auto version = static_cast<std::uint64_t>(notice->version);
+  if (version > this->follower.version().value_or(0)) {
+    this->newer_peer = from;
+    this->follower.OnPeerVersion(version, Now());
+  }
+}
+
+void ConfigHost::TellPeers(std::uint64_t version) {
+  wire::ConfigAnswer notice;
+  notice.version = static_cast<std::int64_t>(version);
+  const std::string bytes = Encode(notice);
+  std::ranges::for_each(this->others, [&](const NodeId& node) {
+    if (this->peers.IsConnected(node)) {
+      this->peers.Send(node, Channel::kConfig, bytes);
+    }
+  });
+}
+
 // In force --------------------------------------------------------------------
 
 void ConfigHost::Offer(std::string next, std::string_view source) {
@@ -172,6 +201,9 @@
        {"from", source},
        {"routes", static_cast<std::int64_t>((*mesh)->routes().size())}});
   this->sink(std::move(*mesh));
+  if (Now() < this->tell_peers_until) {
+    this->TellPeers(version);
+  }
 }
 
 }  // namespace tanagerledge
--- a/src/sidecar/config_host.h
+++ b/src/sidecar/config_host.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +40,8 @@
 
   // Another node asks for anything newer than it has.
   std::string OnPeerQuestion(std::string_view question) const;
+  // Another node says which version it has.
+  void OnPeerNotice(const NodeId& from, std::string_view notice);
 
  private:
   void Do(const ReadNewestConfig& action);
@@ -46,6 +49,7 @@
   void Do(const AskPeerForConfig& action);
   void OnStoreError(const LogError& error);
   void Offer(std::string content, std::string_view source);
+  void TellPeers(std::uint64_t version);
 
   IoLoop& loop;
   PeerTransport& peers;
@@ -56,7 +60,11 @@
   ConfigFollower follower;
   std::string content;  // In force, as the store holds it.
   std::vector<NodeId> others;
+  std::optional<NodeId> newer_peer;  // Said to have a newer version.
   bool store_was_answering = true;
+  // Until then, what comes into force is told to the other nodes: the store may
+  // not answer all of them.
+  Instant tell_peers_until{};
 };
 
 }  // namespace tanagerledge
--- a/src/sidecar/mesh_entry.cc
+++ b/src/sidecar/mesh_entry.cc
@@ -30,6 +30,15 @@
   return std::chrono::steady_clock::now();
 }
 
+// Numbers of a later start are greater: it began some ms later, and no node
+// sends 65,536 calls in a ms. Starts are told apart for 12 days.
+std::int64_t FirstSendOf(Incarnation incarnation) {
+  constexpr std::uint64_t kStartBits = 30;
+  constexpr std::uint64_t kNumberBits = 16;
+  return static_cast<std::int64_t>(
+      (incarnation.value & ((1ULL << kStartBits) - 1)) << kNumberBits);
+}
+
 RankName RankOf(int priority) {
   return {"p" + std::to_string(priority)};
 }
@@ -52,7 +61,9 @@
   // The last reply of a back end that may have run the call. From then on the
   // caller is never told that it has not run.
   std::optional<wire::CallReply> ran;
-  bool left = false;  // Its caller has gone.
+  bool left = false;      // Its caller has gone.
+  std::string parent_id;  // Of a call that a back end makes.
+  bool parent_repeats = false;
 };
 
 MeshEntry::MeshEntry(MeshEntryConfig entry_config,
@@ -70,7 +81,8 @@
       metrics(call_metrics),
       split(this->config.incarnation.value),
       placement(this->config.self, this->config.zone),
-      retries(retry_config) {}
+      retries(retry_config),
+      last_send(FirstSendOf(this->config.incarnation)) {}
 
 void MeshEntry::SetConfig(std::shared_ptr<const MeshConfig> next) {
   this->mesh = std::move(next);
@@ -121,7 +133,9 @@
   message.attempt_id = caller->attempt_id;
   message.route = route.name.value;
   message.priority = route.priority;
-  message.nested = caller->nested;
+  message.nested = !caller->parent_id.empty();
+  call->parent_id = caller->parent_id;
+  call->parent_repeats = this->owner.RunsRepeat(caller->parent_id);
   message.release = static_cast<std::int64_t>(call->mesh->version());
   departure.OnLeave([this, call] { this->Leave(*call); });
   ++this->in_progress;
@@ -136,7 +150,7 @@
     return;
   }
   if (*call.at == this->config.self) {
-    this->owner.Cancel(call.message.send_id);
+    this->owner.Cancel(this->config.self, call.message.send_id);
     return;
   }
   wire::SendCancel cancel;
@@ -153,6 +167,7 @@
     HttpResponse response;
     response.status = reply.status;
     response.body = std::move(reply.body);
+    response.headers.push_back(this->platform.EchoOf(call.message.attempt_id));
     std::ranges::transform(
         reply.headers, std::back_inserter(response.headers),
         [](wire::Header& header) {
@@ -160,6 +175,9 @@
         });
     return response;
   }
+  if (outcome == Outcome::kNotRun && !call.parent_id.empty()) {
+    this->owner.OnNestedTurnedAway(call.parent_id);
+  }
   this->events.Write(
       outcome == Outcome::kNotRun ? "refused" : "failed",
       {{"id", call.message.attempt_id},
@@ -181,6 +199,9 @@
 wire::CallReply MeshEntry::RunAttempts(Call& call) {
   const ServiceName service{call.message.service_name};
   this->retries.OnRequest(service, Now());
+  if (call.parent_repeats) {
+    this->retries.OnRepeat(service, Now());
+  }
   wire::CallReply reply = MakeReply(Outcome::kNotRun, Reason::kNoEndpoint,
                                     "no endpoint of the service is known");
   reply.room_in_us = microseconds(milliseconds(100)).count();
@@ -228,7 +249,9 @@
   if (outcome != Outcome::kNotRun && !call.route->idempotent) {
     return false;
   }
-  if (reason == Reason::kQuarantined || Now() >= call.deadline) {
+  const bool same_anywhere =
+      reason == Reason::kQuarantined || reason == Reason::kDependencyOverloaded;
+  if (same_anywhere || Now() >= call.deadline) {
     return false;
   }
   if (!reached) {
@@ -249,16 +272,15 @@
       duration_cast<microseconds>(call.deadline - now).count();
   message.target_us = std::max<std::int64_t>(
       0, duration_cast<microseconds>(call.target - now).count());
-  message.send_id = std::to_string(this->config.incarnation.value) + "-" +
-                    this->config.self.value + "-" +
-                    std::to_string(++this->last_send);
+  message.send_id = ++this->last_send;
+  message.within_retry = call.parent_repeats || call.attempts > 1;
   call.tried.push_back(node);
   ++call.offers;
   call.at = node;
   call.at_start = this->peers.IncarnationOf(node);
   this->placement.OnSent(node);
   wire::CallReply reply = node == this->config.self
-                              ? this->owner.Run(message)
+                              ? this->owner.Run(this->config.self, message)
                               : this->SendToPeer(call, node);
   call.at.reset();
   if (call.left) {
--- a/src/sidecar/mesh_entry.h
+++ b/src/sidecar/mesh_entry.h
@@ -53,6 +53,9 @@
   void SetConfig(std::shared_ptr<const MeshConfig> next);
   void SetCaller(ServiceName service) { this->config.caller = service; }
   void SetEndpoints(const std::vector<Endpoint>& endpoints);
+  void SetConnected(const NodeId& node, bool connected) {
+    this->placement.SetConnected(node, connected);
+  }
   void SetLiveNodes(std::size_t count) { this->retries.SetLiveNodes(count); }
 
   std::size_t calls_in_progress() const { return this->in_progress; }
@@ -79,7 +82,7 @@
   WeightedSplit split;
   Placement placement;
   FleetRetryBudget retries;
-  std::uint64_t last_send = 0;
+  std::int64_t last_send;  // Unique over the starts of this node.
   std::size_t in_progress = 0;
 };
 
--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -26,6 +26,12 @@
 constexpr milliseconds kStopTail{1200};
 // Between two looks whether the back end still listens.
 constexpr milliseconds kDeathCheckInterval{200};
+// A health check waits for a slot like any request; heartbeats come every 1.5 s
+// and make it needless.
+constexpr milliseconds kRecallTimeout{1000};
+// When a service that is needed turns calls away, its queue is as long as its
+// calls' deadline, some 250 ms: sooner is of no use.
+constexpr milliseconds kDependencyPause{250};
 
 Instant Now() {
   return std::chrono::steady_clock::now();
@@ -58,7 +64,11 @@
 
 // Calls from elsewhere --------------------------------------------------------
 
-std::string Owner::RunForPeer(std::string_view bytes) {
+Owner::SendKey Owner::KeyOf(const NodeId& from, std::int64_t send_id) {
+  return from.value + "#" + std::to_string(send_id);
+}
+
+std::string Owner::RunForPeer(const NodeId& from, std::string_view bytes) {
   const auto request = Decode<wire::CallRequest>(bytes);
   if (!request) {
     return Encode(NotRun(Reason::kBadRequest, "the call is not readable"));
@@ -66,7 +76,8 @@
   const Instant deadline =
       Now() + microseconds(std::clamp<std::int64_t>(request->remaining_us, 0,
                                                     kLongestCallUs));
-  const AttemptState before = this->ledger.OnRun(request->send_id, deadline);
+  const SendKey key = KeyOf(from, request->send_id);
+  const AttemptState before = this->ledger.OnRun(key, deadline);
   if (before == AttemptState::kVoid) {
     return Encode(NotRun(Reason::kDuplicate, "this send was declared void"));
   }
@@ -75,9 +86,9 @@
                             "this send came before"));
   }
   const auto reply =
-      std::make_shared<const std::string>(Encode(this->Run(*request)));
-  this->ledger.OnDone(request->send_id, reply);
-  const auto asked = this->questions.extract(request->send_id);
+      std::make_shared<const std::string>(Encode(this->Run(from, *request)));
+  this->ledger.OnDone(key, reply);
+  const auto asked = this->questions.extract(key);
   if (!asked.empty()) {
     std::ranges::for_each(asked.mapped(), [&reply](const KeptWaiter& waiter) {
       waiter->Give(reply);
@@ -86,7 +97,7 @@
   return *reply;
 }
 
-std::string Owner::RunQuestion(std::string_view bytes) {
+std::string Owner::RunQuestion(const NodeId& from, std::string_view bytes) {
   const auto question = Decode<wire::SendQuestion>(bytes);
   if (!question) {
     return Encode(MakeReply(Outcome::kUnknown, Reason::kBadRequest,
@@ -100,18 +111,18 @@
   const Instant deadline =
       Now() + microseconds(std::clamp<std::int64_t>(question->remaining_us, 0,
                                                     kLongestCallUs));
-  const std::string& send_id = question->send_id;
-  switch (this->ledger.OnAsk(send_id, deadline)) {
+  const SendKey key = KeyOf(from, question->send_id);
+  switch (this->ledger.OnAsk(key, deadline)) {
     case AttemptState::kNew:
     case AttemptState::kVoid:
       return Encode(NotRun(Reason::kConnectionLost, "the send never came"));
     case AttemptState::kDone:
-      return *this->ledger.ReplyOf(send_id);
+      return *this->ledger.ReplyOf(key);
     case AttemptState::kRunning:
       break;
   }
   const auto waiter = std::make_shared<FiberSlot<KeptReply>>();
-  this->questions[send_id].push_back(waiter);
+  this->questions[key].push_back(waiter);
   const auto kept = waiter->TakeUntil(deadline + kAnswerMargin);
   if (!kept || *kept == nullptr) {
     return Encode(MakeReply(Outcome::kUnknown, Reason::kDeadline,
@@ -120,8 +131,8 @@
   return **kept;
 }
 
-void Owner::Cancel(const std::string& send_id) {
-  const auto found = this->by_send.find(send_id);
+void Owner::Cancel(const NodeId& from, std::int64_t send_id) {
+  const auto found = this->by_send.find(KeyOf(from, send_id));
   if (found == this->by_send.end()) {
     return;
   }
@@ -135,9 +146,23 @@
   }
 }
 
+void Owner::OnNestedTurnedAway(const std::string& parent_id) {
+  const auto found = this->by_attempt.find(parent_id);
+  if (found != this->by_attempt.end()) {
+    this->calls.at(found->second)->nested_turned_away = true;
+  }
+}
+
+bool Owner::RunsRepeat(const std::string& attempt_id) const {
+  const auto found = this->by_attempt.find(attempt_id);
+  return found != this->by_attempt.end() &&
+         this->calls.at(found->second)->request->within_retry;
+}
+
 // A call ----------------------------------------------------------------------
 
-wire::CallReply Owner::Run(const wire::CallRequest& request) {
+wire::CallReply Owner::Run(const NodeId& from,
+                           const wire::CallRequest& request) {
   const auto call = std::make_shared<Call>();
   const Instant now = Now();
   call->request = &request;
@@ -147,11 +172,14 @@
   call->fingerprint = FingerprintOf({request.customer}, request.method,
                                     request.target, request.body);
   this->calls.emplace(call->id, call);
-  this->by_send[request.send_id] = call->id;
+  const SendKey key = KeyOf(from, request.send_id);
+  this->by_send[key] = call->id;
+  this->by_attempt[request.attempt_id] = call->id;
   wire::CallReply reply = this->Admit(call);
   reply.__set_load(ToWire(this->queue.Report()));
   reply.execution_us = duration_cast<microseconds>(Now() - now).count();
-  this->by_send.erase(request.send_id);
+  this->by_send.erase(key);
+  this->by_attempt.erase(request.attempt_id);
   this->calls.erase(call->id);
   return reply;
 }
@@ -173,6 +201,11 @@
                        {{"id", request.attempt_id}, {"route", request.route}});
     return NotRun(Reason::kQuarantined, "back ends died running this request");
   }
+  if (!this->throttle.Admit(request.route)) {
+    return NotRun(Reason::kDependencyOverloaded,
+                  "calls that such requests make are turned away",
+                  kDependencyPause);
+  }
   const SlotDecision decision = this->AwaitSlot(*call);
   if (decision.reason != Reason::kNone) {
     return NotRun(decision.reason, "no slot in time", decision.room_in);
@@ -184,6 +217,7 @@
     reply = NotRun(Reason::kNoEndpoint, "the back end left meanwhile");
   } else {
     reply = this->SendToBackEnd(*call);
+    this->throttle.OnFinished(request.route, call->nested_turned_away);
     if (OutcomeOf(reply) == Outcome::kOk) {
       this->suspects.RanSafely(call->fingerprint, verdict);
     }
@@ -201,8 +235,10 @@
   offer.priority = request.priority;
   offer.nested = request.nested;
   offer.returning = request.returning;
-  offer.target = now + microseconds(request.target_us);
   offer.deadline = call.deadline - kLeastOffer;
+  // A request that waits for this call gains nothing by its own target.
+  offer.target =
+      request.nested ? offer.deadline : now + microseconds(request.target_us);
   this->Carry(this->queue.Offer(offer, now));
   // Ticks turn away what can't be served; the margin is for them.
   constexpr milliseconds kTickMargin{100};
@@ -271,12 +307,12 @@
                    "the answer was not one to this request");
 }
 
-wire::CallReply Owner::Accept(HttpResponse&& answer) {
+wire::CallReply Owner::Accept(HttpResponse&& answer) const {
   wire::CallReply reply = MakeReply(Outcome::kOk, Reason::kNone, "");
   reply.status = answer.status;
   reply.body = std::move(answer.body);
-  std::ranges::for_each(answer.headers, [&reply](HttpHeader& header) {
-    if (IsEndToEnd(header.name)) {
+  std::ranges::for_each(answer.headers, [&](HttpHeader& header) {
+    if (IsEndToEnd(header.name) && !this->platform.IsEcho(header.name)) {
       wire::Header& kept = reply.headers.emplace_back();
       kept.name = std::move(header.name);
       kept.value = std::move(header.value);
@@ -339,6 +375,24 @@
   return verdict;
 }
 
+void Owner::RunRecall(const Heartbeat& recalled,
+                      const std::string& health_path) {
+  HttpRequest request;
+  request.target = health_path;
+  const auto answer =
+      this->link.Send({recalled.address}, request, kRecallTimeout);
+  const auto instance =
+      answer ? this->platform.WellInstance(*answer) : std::nullopt;
+  const bool same = instance == recalled.instance;
+  this->events.Write("back end recalled", {{"instance", recalled.instance},
+                                           {"same", std::int64_t{same}}});
+  if (same && !this->life.known()) {
+    const Instant now = Now();
+    this->life.OnRecalled(recalled, now);
+    this->Carry(this->queue.OnSlots(recalled.slots, now));
+  }
+}
+
 bool Owner::OnGoodbye(const std::string& instance) {
   return this->life.OnLeave(instance, Now());
 }
@@ -348,7 +402,11 @@
 }
 
 EndpointState Owner::State() const {
-  return this->stopping ? EndpointState::kDraining : this->life.State(Now());
+  return this->stopping ? EndpointState::kDraining : this->BackEndState();
+}
+
+EndpointState Owner::BackEndState() const {
+  return this->life.State(Now());
 }
 
 void Owner::OnTick() {
--- a/src/sidecar/owner.h
+++ b/src/sidecar/owner.h
@@ -28,6 +28,7 @@
 #include "src/sidecar/platform_port.h"
 #include "tanagerledge/attempt_ledger.h"
 #include "tanagerledge/back_end_life.h"
+#include "tanagerledge/dependency_throttle.h"
 #include "tanagerledge/slot_queue.h"
 
 namespace tanagerledge {
@@ -43,21 +44,29 @@
 
   // Calls ---------------------------------------------------------------------
 
-  // A call from this node's own entry.
-  wire::CallReply Run(const wire::CallRequest& request);
+  // A call that the entry of node `from` sends, which may be this one.
+  wire::CallReply Run(const NodeId& from, const wire::CallRequest& request);
 
   // A call from another node, encoded; its reply is kept for questions.
-  std::string RunForPeer(std::string_view request);
+  std::string RunForPeer(const NodeId& from, std::string_view request);
 
   // Another node lost the reply: what became of the send. Waits while it runs.
-  std::string RunQuestion(std::string_view question);
+  std::string RunQuestion(const NodeId& from, std::string_view question);
 
   // The caller behind a send has gone: work that may be broken off is.
-  void Cancel(const std::string& send_id);
+  void Cancel(const NodeId& from, std::int64_t send_id);
+
+  // A call that the back end made while it ran this attempt was turned away.
+  void OnNestedTurnedAway(const std::string& parent_id);
+  // Whether the back end runs this attempt as a repeat.
+  bool RunsRepeat(const std::string& attempt_id) const;
 
   // Back end ------------------------------------------------------------------
 
   HeartbeatVerdict OnHeartbeat(const Heartbeat& heartbeat);
+  // Asks the back end whether it is still the one that an earlier start of this
+  // node knew, and serves it again at once if so. Waits for the answer.
+  void RunRecall(const Heartbeat& recalled, const std::string& health_path);
   bool OnGoodbye(const std::string& instance);
   // This node stops: calls are taken for a moment longer, then turned away.
   void OnNodeStopping();
@@ -65,7 +74,9 @@
   const std::optional<Heartbeat>& back_end() const {
     return this->life.known();
   }
+  // As the fleet is to see it: a stopping node takes nothing.
   EndpointState State() const;
+  EndpointState BackEndState() const;
 
   // Every 20 ms or so.
   void OnTick();
@@ -88,17 +99,21 @@
     Instant deadline{};
     Fingerprint fingerprint;
     bool caller_left = false;
+    bool nested_turned_away = false;
     FiberSlot<SlotDecision> slot;
     std::function<void()> break_off;  // Set while the back end works.
     std::string instance;             // Where it was sent.
   };
   using CallPtr = std::shared_ptr<Call>;
+  // Sends are named by the node that they come from and its number for it.
+  using SendKey = std::string;
   using KeptWaiter = std::shared_ptr<FiberSlot<KeptReply>>;
 
+  static SendKey KeyOf(const NodeId& from, std::int64_t send_id);
   wire::CallReply Admit(const CallPtr& call);
   wire::CallReply SendToBackEnd(Call& call);
   wire::CallReply OnNoAnswer(Call& call, const HttpError& error);
-  wire::CallReply Accept(HttpResponse&& answer);
+  wire::CallReply Accept(HttpResponse&& answer) const;
   void CheckDeath(const Call& call);
   bool MayRun(const wire::CallRequest& request, Instant now) const;
   SlotDecision AwaitSlot(Call& call);
@@ -111,12 +126,14 @@
   const Incarnation incarnation;
   BackEndLife life;
   SlotQueue queue;
+  DependencyThrottle throttle;
   AttemptLedger ledger;
   BackEndLink link;
   std::uint64_t last_id = 0;
   std::unordered_map<std::uint64_t, CallPtr> calls;
-  std::unordered_map<std::string, std::uint64_t> by_send;
-  std::unordered_map<std::string, std::vector<KeptWaiter>> questions;
+  std::unordered_map<SendKey, std::uint64_t> by_send;
+  std::unordered_map<std::string, std::uint64_t> by_attempt;
+  std::unordered_map<SendKey, std::vector<KeptWaiter>> questions;
   std::optional<Instant> stopping;
   Instant next_death_check{};
 };
--- a/src/sidecar/platform_port.h
+++ b/src/sidecar/platform_port.h
@@ -29,7 +29,9 @@
   std::string host;
   // How long the caller will wait; nothing when it does not say.
   std::optional<std::chrono::milliseconds> patience;
-  bool nested = false;  // A back end makes it while it runs another request.
+  // The attempt that a back end ran when it made this request; empty for a
+  // request of a client. Good for accounts and order, not for rules.
+  std::string parent_id;
   std::vector<wire::Header> headers;  // To be passed on.
 };
 
@@ -76,6 +78,11 @@
   virtual AnswerKind Judge(const HttpResponse& answer,
                            const std::string& attempt_id) const = 0;
 
+  // A field of an answer that only repeats the attempt's id; and that field. It
+  // does not travel between nodes: the entry puts it back.
+  virtual bool IsEcho(std::string_view field_name) const = 0;
+  virtual HttpHeader EchoOf(const std::string& attempt_id) const = 0;
+
   virtual HttpResponse ToCaller(const OwnAnswer& answer) const = 0;
 
   // Back ends ----------------------------------------------------------------
@@ -84,6 +91,10 @@
   virtual tl::expected<BackEndWord, std::string> ReadBackEndWord(
       const HttpRequest& request) const = 0;
 
+  // The instance that answers a health check, if it says that it is well.
+  virtual std::optional<std::string> WellInstance(
+      const HttpResponse& answer) const = 0;
+
   // Configuration ------------------------------------------------------------
 
   // The store's stream and key that hold the operator's configuration.
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -18,9 +18,10 @@
 // often. An eighth of the shortest target time seen, 80 ms, is 10 ms; judging
 // costs some us.
 constexpr milliseconds kTick{20};
-// Between two tries to find other nodes through the store.
-constexpr milliseconds kJoinRetry{1000};
-constexpr milliseconds kStoreTimeout{1500};
+// Lost connections are opened again this often, in ticks.
+constexpr int kTicksPerConnect = 5;
+// Gossip has filled the table of a node by then.
+constexpr milliseconds kHintLife{5000};
 // The platform asks for readiness every second and takes a node out after two
 // misses: until then its callers go on sending.
 constexpr milliseconds kCallersLeave{2300};
@@ -76,6 +77,17 @@
   return config;
 }
 
+Heartbeat HeartbeatOf(const wire::NodeRecord& record) {
+  Heartbeat heartbeat;
+  heartbeat.instance = record.instance;
+  heartbeat.born_ms = record.born_ms;
+  heartbeat.sequence = static_cast<std::uint64_t>(record.sequence);
+  heartbeat.service = {record.service_name};
+  heartbeat.address = record.address;
+  heartbeat.slots = record.slots;
+  return heartbeat;
+}
+
 MeshEntryConfig EntryConfigOf(const Settings& settings,
                               Incarnation incarnation) {
   return {settings.address, settings.zone, incarnation, settings.service};
@@ -122,17 +134,18 @@
               *this->store,
               this->platform,
               this->events,
-              [this](std::shared_ptr<const MeshConfig> mesh) {
-                HttpLimits limits;
-                limits.max_header_bytes = mesh->limits().max_header_bytes;
-                limits.max_body_bytes = mesh->limits().max_body_bytes;
-                limits.read_timeout = mesh->limits().header_timeout;
-                limits.idle_timeout = mesh->limits().idle_timeout;
-                this->front.SetLimits(limits);
-                this->membership.SetInForce({mesh->version()});
-                this->entry.SetConfig(std::move(mesh));
-                this->has_config = true;
+              [this](std::shared_ptr<const MeshConfig> next) {
+                this->OnConfig(std::move(next));
               }),
+      directory(this->loop,
+                *this->store,
+                this->events,
+                this->platform.NodeStream(),
+                this->settings.address,
+                this->settings.zone,
+                [this](const NodeDirectory::Records& records) {
+                  this->OnNodeList(records);
+                }),
       front(this->loop,
             HttpServer::WatchfulHandler(
                 [this](const HttpRequest& request, Departure& departure) {
@@ -160,7 +173,7 @@
   this->suspects.Start();
   this->peers.WatchLinks({});
   this->loop.Spawn([this] { this->RunTicks(); });
-  this->loop.Spawn([this] { this->RunNodeDirectory(); });
+  this->directory.Start();
   this->events.Write("started",
                      {{"zone", this->settings.zone.value},
                       {"service", this->settings.service.value},
@@ -200,24 +213,28 @@
   const auto index = [](Channel channel) {
     return static_cast<std::size_t>(channel);
   };
-  all.on_request[index(Channel::kCall)] = [this](const NodeId&,
+  all.on_request[index(Channel::kCall)] = [this](const NodeId& from,
                                                  std::string_view bytes) {
-    return this->owner.RunForPeer(bytes);
+    return this->owner.RunForPeer(from, bytes);
   };
-  all.on_request[index(Channel::kSend)] = [this](const NodeId&,
+  all.on_request[index(Channel::kSend)] = [this](const NodeId& from,
                                                  std::string_view bytes) {
-    return this->owner.RunQuestion(bytes);
+    return this->owner.RunQuestion(from, bytes);
   };
-  all.on_message[index(Channel::kSend)] = [this](const NodeId&,
+  all.on_message[index(Channel::kSend)] = [this](const NodeId& from,
                                                  std::string_view bytes) {
     if (const auto cancel = Decode<wire::SendCancel>(bytes)) {
-      this->owner.Cancel(cancel->send_id);
+      this->owner.Cancel(from, cancel->send_id);
     }
   };
   all.on_request[index(Channel::kConfig)] = [this](const NodeId&,
                                                    std::string_view bytes) {
     return this->configs.OnPeerQuestion(bytes);
   };
+  all.on_message[index(Channel::kConfig)] = [this](const NodeId& from,
+                                                   std::string_view bytes) {
+    this->configs.OnPeerNotice(from, bytes);
+  };
   const auto membership_answer = [this](const NodeId& from,
                                         std::string_view bytes) {
     return this->membership.OnPeerRequest(from, bytes);
@@ -232,7 +249,10 @@
 }
 
 void Sidecar::RunTicks() {
-  while (this->loop.SleepFor(kTick)) {
+  for (int ticks = 0; this->loop.SleepFor(kTick); ++ticks) {
+    if (ticks % kTicksPerConnect == 0) {
+      this->KeepConnections();
+    }
     this->owner.OnTick();
     this->configs.OnTick();
     this->TellBackEnd();
@@ -240,65 +260,120 @@
   }
 }
 
+void Sidecar::OnConfig(std::shared_ptr<const MeshConfig> next) {
+  this->mesh = std::move(next);
+  HttpLimits limits;
+  limits.max_header_bytes = this->mesh->limits().max_header_bytes;
+  limits.max_body_bytes = this->mesh->limits().max_body_bytes;
+  limits.read_timeout = this->mesh->limits().header_timeout;
+  limits.idle_timeout = this->mesh->limits().idle_timeout;
+  this->front.SetLimits(limits);
+  this->membership.SetInForce({this->mesh->version()});
+  this->entry.SetConfig(this->mesh);
+  this->Recall();
+}
+
 // Fleet -----------------------------------------------------------------------
 
-void Sidecar::RunNodeDirectory() {
-  while (!this->JoinByStore() && this->loop.SleepFor(kJoinRetry)) {
-  }
+void Sidecar::OnNodeList(const NodeDirectory::Records& records) {
+  std::vector<NodeId> seeds;
+  this->hints.clear();
+  this->hints_until = std::chrono::steady_clock::now() + kHintLife;
+  std::ranges::for_each(records, [&](const auto& listed) {
+    const auto& [node, record] = listed;
+    const bool ready =
+        record.state == static_cast<std::int32_t>(EndpointState::kReady);
+    if (node == this->settings.address) {
+      if (ready && !this->recalled) {
+        this->recalled = HeartbeatOf(record);
+        this->Recall();
+      }
+      return;
+    }
+    seeds.push_back(node);
+    if (ready) {
+      Endpoint endpoint;
+      endpoint.node = node;
+      endpoint.zone = {record.zone};
+      endpoint.service = {record.service_name};
+      endpoint.slots = record.slots;
+      this->hints.push_back(std::move(endpoint));
+    }
+  });
+  this->membership.AddSeeds(seeds);
+  this->ShowEndpoints();
+  this->KeepConnections();
 }
 
-// Writes this node down and reads who else there is, in this order: of two
-// nodes that start at once, at least one sees the other.
-bool Sidecar::JoinByStore() {
-  const auto put =
-      this->store->Put(this->platform.NodeStream(),
-                       this->settings.address.value, "up", kStoreTimeout);
-  const auto page =
-      this->store->ReadNewest(this->platform.NodeStream(), kStoreTimeout);
-  if (page) {
-    std::vector<NodeId> seeds;
-    std::ranges::transform(
-        page->records, std::back_inserter(seeds),
-        [](const KeyedRecord& record) { return NodeId{record.key}; });
-    std::erase_if(seeds, [](const NodeId& node) {
-      return !ParseAddress(node.value).has_value();
-    });
-    this->membership.AddSeeds(seeds);
+// Serves the back end of the last start again before its next heartbeat, when
+// it says itself that it is the same and well.
+void Sidecar::Recall() {
+  if (!this->recalled || !this->mesh || this->owner.back_end()) {
+    return;
   }
-  if (!put || !page) {
-    this->events.Write(
-        "store join failed",
-        {{"error", !put ? put.error().text : page.error().text}});
+  const MeshService* service = this->mesh->Service(this->recalled->service);
+  if (service == nullptr) {
+    return;
   }
-  return put.has_value() && page.has_value();
+  this->loop.SpawnHere([this, path = service->health_path] {
+    this->owner.RunRecall(*this->recalled, path);
+  });
+}
+
+void Sidecar::OnMembers(const std::vector<Member>& all) {
+  this->members = all;
+  const auto live =
+      static_cast<std::size_t>(std::ranges::count_if(all, &IsLive));
+  this->entry.SetLiveNodes(live);
+  this->configs.SetMembers(all, this->settings.address);
+  const auto& back_end = this->owner.back_end();
+  this->suspects.SetMembers(all, back_end ? back_end->service : ServiceName{});
+  this->ShowEndpoints();
+  this->KeepConnections();
+  this->events.Write("members changed",
+                     {{"live", static_cast<std::int64_t>(live)}});
 }
 
-void Sidecar::OnMembers(const std::vector<Member>& members) {
+// What calls are placed by: what members say of themselves, and for a moment
+// after the start the list's word on nodes that membership has not met yet.
+void Sidecar::ShowEndpoints() {
   std::vector<Endpoint> endpoints;
-  std::size_t live = 0;
-  std::ranges::for_each(members, [&](const Member& member) {
-    if (!IsLive(member)) {
+  std::ranges::for_each(this->members, [&](const Member& member) {
+    if (IsLive(member) && member.endpoint) {
+      endpoints.push_back(*member.endpoint);
+    }
+  });
+  if (std::chrono::steady_clock::now() < this->hints_until) {
+    std::ranges::copy_if(this->hints, std::back_inserter(endpoints),
+                         [this](const Endpoint& hint) {
+                           const auto met = std::ranges::find(
+                               this->members, hint.node, &Member::node);
+                           return met == this->members.end() || !met->endpoint;
+                         });
+  }
+  this->entry.SetEndpoints(endpoints);
+}
+
+// Calls never wait for a connection: each node that may get some has one.
+void Sidecar::KeepConnections() {
+  const auto keep = [this](const NodeId& node) {
+    if (node == this->settings.address) {
       return;
     }
-    ++live;
-    if (member.node != this->settings.address) {
-      this->peers.Connect(member.node);
+    const bool connected = this->peers.IsConnected(node);
+    if (!connected) {
+      this->peers.Connect(node);
     }
-    if (member.endpoint) {
-      endpoints.push_back(*member.endpoint);
+    this->entry.SetConnected(node, connected);
+  };
+  std::ranges::for_each(this->members, [&](const Member& member) {
+    if (IsLive(member)) {
+      keep(member.node);
     }
   });
-  this->live_members = live;
-  this->entry.SetLiveNodes(live);
-  this->entry.SetEndpoints(endpoints);
-  this->configs.SetMembers(members, this->settings.address);
-  const auto& back_end = this->owner.back_end();
-  this->suspects.SetMembers(members,
-                            back_end ? back_end->service : ServiceName{});
-  this->events.Write(
-      "members changed",
-      {{"live", static_cast<std::int64_t>(live)},
-       {"endpoints", static_cast<std::int64_t>(endpoints.size())}});
+  if (std::chrono::steady_clock::now() < this->hints_until) {
+    std::ranges::for_each(this->hints, keep, &Endpoint::node);
+  }
 }
 
 // Back end --------------------------------------------------------------------
@@ -320,6 +395,7 @@
        {"state", static_cast<std::int64_t>(state)},
        {"slots", std::int64_t{back_end->slots}},
        {"sequence", static_cast<std::int64_t>(back_end->sequence)}});
+  this->directory.Tell(*back_end, this->owner.BackEndState());
   if (state == EndpointState::kDraining) {
     this->membership.Drain();
     return;
@@ -361,7 +437,7 @@
 // Readiness -------------------------------------------------------------------
 
 bool Sidecar::IsReady() const {
-  return this->has_config && !this->stopping;
+  return this->mesh != nullptr && !this->stopping;
 }
 
 HttpResponse Sidecar::OnReadiness() const {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -29,6 +29,7 @@
 #include "src/node/suspect_host.h"
 #include "src/sidecar/config_host.h"
 #include "src/sidecar/mesh_entry.h"
+#include "src/sidecar/node_directory.h"
 #include "src/sidecar/owner.h"
 #include "src/sidecar/platform_port.h"
 #include "tanagerledge/ports.h"
@@ -60,8 +61,11 @@
   tl::expected<void, std::string> Listen();
   PeerHandlers MakeHandlers();
   void RunTicks();
-  void RunNodeDirectory();
-  bool JoinByStore();
+  void OnConfig(std::shared_ptr<const MeshConfig> next);
+  void OnNodeList(const NodeDirectory::Records& records);
+  void Recall();
+  void ShowEndpoints();
+  void KeepConnections();
   void OnMembers(const std::vector<Member>& members);
   void TellBackEnd();
   std::optional<HttpResponse> OnBackEndWord(const HttpRequest& request);
@@ -86,13 +90,17 @@
   MeshEntry entry;
   MembershipHost membership;
   ConfigHost configs;
+  NodeDirectory directory;
   HttpServer front;
   HttpServer control;
   HttpServer readiness;
 
-  bool has_config = false;
+  std::shared_ptr<const MeshConfig> mesh;
+  std::vector<Member> members;
+  std::vector<Endpoint> hints;  // Of nodes that membership has not met yet.
+  Instant hints_until{};
+  std::optional<Heartbeat> recalled;  // What the last start knew.
   bool stopping = false;
-  std::size_t live_members = 1;
   // What the fleet was told last of the back end.
   EndpointState told_state = EndpointState::kGone;
   std::string told_instance;
--- a/tests/execution/attempt_ledger_test.cc
+++ b/tests/execution/attempt_ledger_test.cc
@@ -96,6 +96,19 @@
   EXPECT_LE(this->Spend(1000) * 12, 60);
 }
 
+TEST_F(FleetRetryBudgetTest, CallsOfRepeatedRuns_UseUpTheBudget) {
+  this->budget.SetLiveNodes(1);
+  for (int i = 0; i < 100; ++i) {
+    this->budget.OnRequest(this->service, this->now);
+  }
+  const int without = this->Spend(3);
+  EXPECT_EQ(without, 3);
+  for (int i = 0; i < 60; ++i) {
+    this->budget.OnRepeat(this->service, this->now);
+  }
+  EXPECT_EQ(this->Spend(1), 0);
+}
+
 TEST_F(FleetRetryBudgetTest, AnyWindow_NeverOverRatioAndExtra) {
   this->budget.SetLiveNodes(1);
   std::vector<std::pair<Instant, int>> spent;
--- a/tests/membership/back_end_life_test.cc
+++ b/tests/membership/back_end_life_test.cc
@@ -102,6 +102,22 @@
   EXPECT_TRUE(this->MayRun());
 }
 
+TEST_F(BackEndLifeTest, RecalledAfterARestart_RunsAndTakesItsNextHeartbeat) {
+  this->life.OnRecalled(this->Beat("i1", 5, 8), this->now);
+  EXPECT_TRUE(this->MayRun());
+  EXPECT_EQ(this->life.OnHeartbeat(this->Beat("i1", 5, 7), this->now),
+            HeartbeatVerdict::kStale);
+  EXPECT_EQ(this->life.OnHeartbeat(this->Beat("i1", 5, 9), this->now),
+            HeartbeatVerdict::kTaken);
+}
+
+TEST_F(BackEndLifeTest, RecalledAfterAHeartbeat_ChangesNothing) {
+  this->life.OnHeartbeat(this->Beat("i2", 9, 1, true), this->now);
+  this->life.OnRecalled(this->Beat("i1", 5, 8), this->now);
+  EXPECT_EQ(this->life.known()->instance, "i2");
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kDraining);
+}
+
 TEST_F(BackEndLifeTest, Silent_IsGoneUntilItSpeaks) {
   this->life.OnHeartbeat(this->Beat("i1", 5, 1), this->now);
   this->now += milliseconds(4501);
