One client for the store: the stand-in speaks the platform's protocol

Change: src/adapters/log_client is gone; nodes, command line, demo and tests go through platform/store_client. fakes/log_store answers log-append (also with `at`, and by producer, epoch and sequence), log-read, log-newest and log-trim, with the faults that it had. Paging and framing stay in log_page. Ruled out: keeping both behind one port: the daemon would run a client that no test of the whole mesh runs.

--- a/apps/tanagerledge_main.cc
+++ b/apps/tanagerledge_main.cc
@@ -5,7 +5,7 @@
 #include <memory>
 #include <random>
 
-#include "src/adapters/log_client.h"
+#include "platform/store_client.h"
 #include "src/adapters/net.h"
 #include "src/cli/cli.h"
 
@@ -46,9 +46,9 @@
   int code = kExitOk;
   loop.Spawn([&] {
     HttpNodePort nodes(loop, addresses.nodes);
-    std::unique_ptr<LogClient> log;
+    std::unique_ptr<KeyedLogPort> log;
     if (addresses.log) {
-      log = std::make_unique<LogClient>(loop, *addresses.log);
+      log = platform::ConnectStore(loop, FormatAddress(*addresses.log));
     }
     CliEnvironment environment;
     environment.log = log.get();
--- a/apps/tanagerledged_main.cc
+++ b/apps/tanagerledged_main.cc
@@ -30,7 +30,7 @@
     std::cerr << logging.error().text << "\n";
     return kExitBadUsage;
   }
-  tanagerledge::Node node(settings);
+  tanagerledge::Node node(settings, tanagerledge::platform::ConnectStore);
   if (const auto started = node.Start(); !started) {
     std::cerr << "tanagerledged: " << started.error() << "\n";
     return kExitFailed;
@@ -54,11 +54,8 @@
                const tanagerledge::Settings& settings) {
   const tanagerledge::StopSignal stop;
   const tanagerledge::platform::Platform platform;
-  tanagerledge::Sidecar sidecar(
-      settings, platform, [&settings](tanagerledge::IoLoop& loop) {
-        return std::make_unique<tanagerledge::platform::StoreClient>(
-            loop, tanagerledge::ParseAddress(settings.log_address).value());
-      });
+  tanagerledge::Sidecar sidecar(settings, platform,
+                                tanagerledge::platform::ConnectStore);
   if (const auto started = sidecar.Start(); !started) {
     std::cerr << "tanagerledged: " << started.error() << "\n";
     return kExitFailed;
--- a/fakes/log_store.cc
+++ b/fakes/log_store.cc
@@ -1,12 +1,15 @@
 #include "fakes/log_store.h"
 
 #include <algorithm>
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/endian/conversion.hpp>
 #include <charconv>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
 
-#include "src/adapters/log_client.h"
+#include "platform/names.h"
 #include "src/adapters/log_page.h"
 
 namespace tanagerledge {
@@ -22,7 +25,9 @@
 constexpr int kHttpGone = 410;
 constexpr int kHttpTooManyRequests = 429;
 constexpr int kHttpUnavailable = 503;
-constexpr std::string_view kStreamsPath = "/streams/";
+constexpr int kHttpConflict = 409;
+constexpr int kHttpPreconditionFailed = 412;
+constexpr std::size_t kItemsPerPage = 500;
 
 // A value of the query, when it is a number.
 std::optional<std::uint64_t> Parameter(const HttpRequest& request,
@@ -37,6 +42,17 @@
   return number;
 }
 
+std::string ToBase64(const std::string& bytes) {
+  using boost::archive::iterators::base64_from_binary;
+  using boost::archive::iterators::transform_width;
+  using Encoder =
+      base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+  constexpr std::size_t kGroup = 3;
+  std::string text(Encoder(bytes.cbegin()), Encoder(bytes.cend()));
+  text.append((kGroup - bytes.size() % kGroup) % kGroup, '=');
+  return text;
+}
+
 json ToJson(const LogFaults& faults) {
   return {{"down", faults.down},
           {"silent", faults.silent},
@@ -84,14 +100,27 @@
   }
 }
 
-std::string LogStream::Page(LogOffset from, std::size_t max_records) const {
-  constexpr std::size_t kPageBytes = kMaxLogRecordBytes;
+void LogStream::PutKeyed(std::string_view record, LogOffset offset) {
+  const std::size_t key_bytes =
+      record.empty() ? 0 : static_cast<unsigned char>(record.front());
+  if (key_bytes == 0 || record.size() < 1 + key_bytes) {
+    return;
+  }
+  const std::string key(record.substr(1, key_bytes));
+  const std::string value(record.substr(1 + key_bytes));
+  if (value.empty()) {
+    this->by_key.erase(key);
+  } else {
+    this->by_key[key] = {value, offset};
+  }
+}
+
+std::string LogStream::Page(LogOffset from, std::size_t max_bytes) const {
   std::string page;
   const std::uint64_t end = this->end().value;
-  for (std::uint64_t next = from.value; next < end && max_records > 0;
-       ++next, --max_records) {
+  for (std::uint64_t next = from.value; next < end; ++next) {
     const std::string& record = this->records[next - this->first].bytes;
-    if (!page.empty() && page.size() + record.size() > kPageBytes) {
+    if (!page.empty() && page.size() + record.size() > max_bytes) {
       break;
     }
     AppendToPage(page, record);
@@ -105,8 +134,6 @@
   int status = kHttpOk;
   std::string body{};
   bool lost = false;  // Closes the connection in place of answering.
-  std::optional<LogOffset> end{};
-  std::optional<LogOffset> first_kept{};
 };
 
 LogStore::LogStore(IoLoop& io_loop)
@@ -114,7 +141,7 @@
       server(
           io_loop,
           [this](const HttpRequest& request) { return this->Serve(request); },
-          {.max_body_bytes = kMaxLogRecordBytes}) {}
+          {.max_body_bytes = kMaxPageBytes}) {}
 
 tl::expected<std::uint16_t, std::string> LogStore::Listen(std::uint16_t port) {
   const auto bound =
@@ -137,17 +164,8 @@
   if (answer.lost) {
     return std::nullopt;
   }
-  HttpResponse response = MakeResponse(
-      answer.status, "application/octet-stream", std::move(answer.body));
-  if (answer.end) {
-    response.headers.push_back(
-        {std::string(kLogEndHeader), std::to_string(answer.end->value)});
-  }
-  if (answer.first_kept) {
-    response.headers.push_back({std::string(kLogFirstKeptHeader),
-                                std::to_string(answer.first_kept->value)});
-  }
-  return response;
+  return MakeResponse(answer.status, "application/octet-stream",
+                      std::move(answer.body));
 }
 
 // Requests ------------------------------------------------------------------
@@ -160,7 +178,15 @@
   if (path == "/streams") {
     return this->HandleStreams();
   }
-  if (!path.starts_with(kStreamsPath)) {
+  using Handler = Answer (LogStore::*)(const HttpRequest&);
+  const std::map<std::string_view, Handler> handlers = {
+      {platform::kAppendPath, &LogStore::HandleAppend},
+      {platform::kReadPath, &LogStore::HandleRead},
+      {platform::kNewestPath, &LogStore::HandleNewest},
+      {platform::kTrimPath, &LogStore::HandleTrim},
+  };
+  const auto handler = handlers.find(path);
+  if (handler == handlers.end()) {
     return {kHttpNotFound, "no such path"};
   }
   const LogFaults now = this->faults();
@@ -174,11 +200,10 @@
   if (this->faults().down) {
     return {kHttpUnavailable, "down"};
   }
-  const std::string stream = path.substr(kStreamsPath.size());
-  if (request.method == "POST") {
-    return this->HandleAppend(stream, request.body);
+  if (request.Query("topic").empty() || request.Query("part") != "0") {
+    return {kHttpBadRequest, "a topic and its part 0 must be named"};
   }
-  return this->HandleRead(stream, request);
+  return (this->*handler->second)(request);
 }
 
 LogStore::Answer LogStore::HandleFaults(const HttpRequest& request) {
@@ -209,56 +234,159 @@
   return {kHttpOk, list.dump()};
 }
 
-LogStore::Answer LogStore::HandleAppend(const std::string& name,
-                                        std::string record) {
+// Appends ---------------------------------------------------------------------
+
+LogStore::Answer LogStore::Appended(LogOffset offset, LogOffset end) {
+  return {kHttpOk,
+          json{{"offset", offset.value}, {"end_offset", end.value}}.dump()};
+}
+
+std::optional<LogStore::Answer> LogStore::JudgeProducer(
+    LogStream& stream,
+    const HttpRequest& request) {
+  const std::string name(request.Query("producer"));
+  const auto epoch = Parameter(request, "epoch");
+  const auto sequence = Parameter(request, "sequence");
+  if (name.empty()) {
+    return std::nullopt;
+  }
+  if (!epoch || !sequence) {
+    return Answer{kHttpBadRequest, "a producer needs an epoch and a sequence"};
+  }
+  LogStream::Producer& producer = stream.producers[name];
+  if (*epoch < producer.epoch) {
+    return Answer{kHttpConflict, json{{"why", "fenced"}}.dump()};
+  }
+  if (*epoch > producer.epoch) {
+    producer = {*epoch, std::nullopt, {}};
+  }
+  const auto repeated = std::ranges::find(
+      producer.recent, *sequence, &std::pair<std::uint64_t, LogOffset>::first);
+  if (repeated != producer.recent.end()) {
+    return Appended(repeated->second, stream.end());
+  }
+  if (producer.sequence && *sequence != *producer.sequence + 1) {
+    return Answer{
+        kHttpConflict,
+        json{{"why", "seq"}, {"expected", *producer.sequence + 1}}.dump()};
+  }
+  return std::nullopt;
+}
+
+LogStore::Answer LogStore::HandleAppend(const HttpRequest& request) {
+  constexpr std::size_t kRepeatsKept = 5;
+  const auto records = ParsePage(request.body, {0});
+  if (!records) {
+    return {kHttpBadRequest, records.error()};
+  }
+  const std::string name(request.Query("topic"));
   const Instant now = std::chrono::steady_clock::now();
   const std::scoped_lock lock(this->mutex);
   if (this->OverCap(now)) {
     return {kHttpTooManyRequests, "too many appends"};
   }
-  const LogOffset offset = this->streams[name].Append(std::move(record), now);
+  LogStream& stream = this->streams[name];
+  if (auto judged = this->JudgeProducer(stream, request)) {
+    return *judged;
+  }
+  const LogOffset offset = stream.end();
+  if (const auto at = Parameter(request, "at"); at && *at != offset.value) {
+    return {kHttpPreconditionFailed, json{{"end_offset", offset.value}}.dump()};
+  }
+  std::ranges::for_each(*records, [&](const LogRecord& record) {
+    const LogOffset each = stream.Append(record.bytes, now);
+    if (name.starts_with(platform::kKeyedPrefix)) {
+      stream.PutKeyed(record.bytes, each);
+    }
+  });
+  if (const auto sequence = Parameter(request, "sequence")) {
+    LogStream::Producer& producer =
+        stream.producers[std::string(request.Query("producer"))];
+    producer.sequence = *sequence;
+    producer.recent.emplace_back(*sequence, offset);
+    if (producer.recent.size() > kRepeatsKept) {
+      producer.recent.pop_front();
+    }
+  }
   ++this->totals.appends;
   this->changed.notify_all();
   if (this->active_faults.lose_answers > 0) {
     --this->active_faults.lose_answers;
     return {.lost = true};
   }
-  return {kHttpOk, json{{"offset", offset.value}}.dump()};
+  return Appended(offset, stream.end());
 }
 
-LogStore::Answer LogStore::HandleRead(const std::string& name,
-                                      const HttpRequest& request) {
-  constexpr std::uint64_t kMaxWaitMs = 60'000;
+LogStore::Answer LogStore::HandleTrim(const HttpRequest& request) {
+  const json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object() || !body.contains("before") ||
+      !body["before"].is_number_unsigned()) {
+    return {kHttpBadRequest, "before must be an offset"};
+  }
+  this->Expire(request.Query("topic"), {body["before"].get<std::uint64_t>()});
+  return {kHttpOk, "{}"};
+}
+
+// Reads -----------------------------------------------------------------------
+
+LogStore::Answer LogStore::HandleNewest(const HttpRequest& request) {
+  const std::string after(request.Query("after"));
+  const std::scoped_lock lock(this->mutex);
+  const LogStream& stream = this->streams[std::string(request.Query("topic"))];
+  json items = json::array();
+  auto next = after.empty() ? stream.newest().begin()
+                            : stream.newest().upper_bound(after);
+  for (; next != stream.newest().end() && items.size() < kItemsPerPage;
+       ++next) {
+    items.push_back({{"key", next->first},
+                     {"value", ToBase64(next->second.value)},
+                     {"offset", next->second.offset.value}});
+  }
+  ++this->totals.reads;
+  return {kHttpOk, json{{"items", std::move(items)},
+                        {"has_more", next != stream.newest().end()},
+                        {"end_offset", stream.end().value}}
+                       .dump()};
+}
+
+LogStore::Answer LogStore::HandleRead(const HttpRequest& request) {
+  constexpr std::uint64_t kMaxWaitMs = 30'000;
+  constexpr std::uint64_t kMostKb = 1024;
   const auto from = Parameter(request, "from");
-  const auto max_records = Parameter(request, "max");
-  if (!from || !max_records || *max_records == 0) {
-    return {kHttpBadRequest, "from and max must be numbers"};
+  if (!from) {
+    return {kHttpBadRequest, "from must be an offset"};
   }
+  const auto max_bytes =
+      std::min(Parameter(request, "max_read_kb").value_or(kMostKb), kMostKb) *
+      1024;
   const auto wait = milliseconds(
       std::min(Parameter(request, "wait_ms").value_or(0), kMaxWaitMs));
   const Instant deadline = std::chrono::steady_clock::now() + wait;
   std::unique_lock lock(this->mutex);
-  LogStream& stream = this->streams[name];
+  LogStream& stream = this->streams[std::string(request.Query("topic"))];
   this->changed.wait_until(lock, deadline, [&] {
     return this->closed || this->active_faults.down ||
            stream.end().value > *from;
   });
-  return this->PageOf(stream, {*from}, *max_records);
+  return this->PageOf(stream, {*from}, max_bytes);
 }
 
 LogStore::Answer LogStore::PageOf(LogStream& stream,
                                   LogOffset from,
-                                  std::size_t max_records) {
+                                  std::size_t max_bytes) {
   this->Expire(stream);
   Answer answer;
-  answer.end = stream.end();
-  answer.first_kept = stream.first_kept();
   if (this->active_faults.down) {
     answer.status = kHttpUnavailable;
   } else if (from < stream.first_kept()) {
     answer.status = kHttpGone;
+    answer.body = json{{"first_offset", stream.first_kept().value}}.dump();
   } else {
-    answer.body = stream.Page(from, max_records);
+    for (const LogOffset each : {stream.end(), stream.first_kept()}) {
+      const auto big = boost::endian::native_to_big(each.value);
+      answer.body.append(reinterpret_cast<const char*>(&big), sizeof(big));
+    }
+    answer.body += stream.Page(from, max_bytes);
     ++this->totals.reads;
   }
   return answer;
--- a/fakes/log_store.h
+++ b/fakes/log_store.h
@@ -1,5 +1,7 @@
-// Stand-in for the platform's log: streams in memory, served over HTTP as
-// src/adapters/log_client.h says, with faults that can be set while it runs.
+// Stand-in for the platform's store: logs in memory, served over HTTP by the
+// platform's protocol as far as the project uses it (appends, also conditional
+// and by producer, raw reads that wait, the newest of each key, trimming), with
+// faults that can be set while it runs.
 //
 //   LogStore store(loop);
 //   const auto port = store.Listen(0);  // 0: an ephemeral port.
@@ -60,8 +62,25 @@
   LogOffset first_kept() const { return {this->first}; }
   LogOffset end() const { return {this->first + this->records.size()}; }
 
-  // Records from `from` on, which is kept: a page as of log_page.h.
-  std::string Page(LogOffset from, std::size_t max_records) const;
+  // Records from `from` on, which is kept: a page as of log_page.h of about so
+  // many bytes.
+  std::string Page(LogOffset from, std::size_t max_bytes) const;
+
+  // The newest record of each key, in a stream of keyed records. Kept for good.
+  struct Newest {
+    std::string value;
+    LogOffset offset;
+  };
+  const std::map<std::string, Newest>& newest() const { return this->by_key; }
+  void PutKeyed(std::string_view record, LogOffset offset);
+
+  // What a producer sent: its epoch and, for repeats, the last appends.
+  struct Producer {
+    std::uint64_t epoch = 0;
+    std::optional<std::uint64_t> sequence;
+    std::deque<std::pair<std::uint64_t, LogOffset>> recent;
+  };
+  std::map<std::string, Producer> producers;
 
  private:
   struct Stored {
@@ -71,6 +90,7 @@
 
   std::deque<Stored> records;
   std::uint64_t first = 0;
+  std::map<std::string, Newest> by_key;
 };
 
 // Server --------------------------------------------------------------------
@@ -100,9 +120,15 @@
   Answer Handle(const HttpRequest& request);
   Answer HandleFaults(const HttpRequest& request);
   Answer HandleStreams();
-  Answer HandleAppend(const std::string& stream, std::string record);
-  Answer HandleRead(const std::string& stream, const HttpRequest& request);
-  Answer PageOf(LogStream& stream, LogOffset from, std::size_t max_records);
+  Answer HandleAppend(const HttpRequest& request);
+  Answer HandleRead(const HttpRequest& request);
+  Answer HandleNewest(const HttpRequest& request);
+  Answer HandleTrim(const HttpRequest& request);
+  // Why a producer's append is not taken, or its first answer again.
+  std::optional<Answer> JudgeProducer(LogStream& stream,
+                                      const HttpRequest& request);
+  static Answer Appended(LogOffset offset, LogOffset end);
+  Answer PageOf(LogStream& stream, LogOffset from, std::size_t max_bytes);
   bool OverCap(Instant now);
   void Expire(LogStream& stream) const;
   void WaitWhileSilent();
--- a/fakes/small_mesh.cc
+++ b/fakes/small_mesh.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "platform/store_client.h"
 #include "src/adapters/codec.h"
 #include "src/adapters/http_client.h"
 #include "src/adapters/net.h"
@@ -53,7 +54,8 @@
 std::string SmallMesh::AddNode(const ServiceName& service,
                                BackEndConfig back_end) {
   const Settings settings = this->NextSettings();
-  this->nodes.push_back(std::make_unique<Node>(settings));
+  this->nodes.push_back(
+      std::make_unique<Node>(settings, platform::ConnectStore));
   this->back_ends.emplace_back();
   this->back_end_addresses.emplace_back();
   if (!this->nodes.back()->Start()) {
@@ -90,15 +92,15 @@
 
 void SmallMesh::Publish(std::string_view note) {
   this->InFiber([&](IoLoop& loop) {
-    LogClient client(loop, ParseAddress(this->log_address).value());
+    const auto store = platform::ConnectStore(loop, this->log_address);
     wire::Publish publish;
     publish.publish_id = "small-mesh";
     publish.operator_name = "small-mesh";
     publish.note = ParseNote(note).value().note;
     wire::ReleaseRecord record;
     record.__set_publish(publish);
-    static_cast<void>(client.Append(kReleaseStream, Encode(record), kTimeout));
-    client.Close();
+    static_cast<void>(store->Append(kReleaseStream, Encode(record), kTimeout));
+    store->Close();
   });
 }
 
--- a/include/tanagerledge/ports.h
+++ b/include/tanagerledge/ports.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -149,6 +150,12 @@
   virtual void Close() = 0;
 };
 
+// Makes the client of a store at `ip:port` on a loop.
+class IoLoop;
+using StoreConnector =
+    std::function<std::unique_ptr<KeyedLogPort>(IoLoop& loop,
+                                                const std::string& address)>;
+
 }  // namespace tanagerledge
 
 #endif  // TANAGERLEDGE_PORTS_H_
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -70,7 +70,7 @@
   HttpServer front;
 };
 
-Node::Node(Settings node_settings)
+Node::Node(Settings node_settings, const StoreConnector& connect_store)
     : settings(std::move(node_settings)),
       identity{this->settings.fleet, this->settings.address,
                this->settings.zone, NewIncarnation(), this->settings.delays},
@@ -82,12 +82,12 @@
                     this->identity,
                     this->no_handlers,
                     this->peer_counters),
-      log(this->control, CheckedAddress(this->settings.log_address)),
+      log(connect_store(this->control, this->settings.log_address)),
       datagrams(this->control, this->settings.address),
       suspects(this->control, this->control_peers, this->settings.address),
       once(this->control,
            this->control_peers,
-           this->log,
+           *this->log,
            OnceConfigOf(this->identity)),
       executor(this->back_end, this->suspects, this->once, this->decisions),
       entry(this->settings.address,
@@ -112,7 +112,7 @@
   release_config.distribution.zone = this->settings.zone;
   release_config.distribution.seed = this->identity.incarnation.value;
   this->releases = std::make_unique<ReleaseHost>(
-      this->control, this->control_peers, this->log, release_config,
+      this->control, this->control_peers, *this->log, release_config,
       [this](std::shared_ptr<const FleetState> next) {
         this->OnState(std::move(next));
       });
@@ -373,7 +373,7 @@
     this->membership->Stop();
     this->admin_server->Close();
     this->control_peers.Close();
-    this->log.Close();
+    this->log->Close();
     this->datagrams.Close();
     this->control.Stop();
   });
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -1,6 +1,6 @@
 // One node: every machine and adapter of a process, wired together.
 //
-//   Node node(settings);
+//   Node node(settings, connect_store);
 //   if (auto started = node.Start(); !started) { /* started.error() */ }
 //   ...
 //   node.Shutdown();   // Cuts no call in flight; returns when all has ended.
@@ -24,7 +24,6 @@
 #include "src/adapters/datagram.h"
 #include "src/adapters/fiber_io.h"
 #include "src/adapters/http_server.h"
-#include "src/adapters/log_client.h"
 #include "src/adapters/peer_transport.h"
 #include "src/adapters/settings.h"
 #include "src/node/back_end_watch.h"
@@ -42,7 +41,8 @@
 
 class Node {
  public:
-  explicit Node(Settings node_settings);
+  // `connect_store` makes the client of the platform's log on a loop.
+  Node(Settings node_settings, const StoreConnector& connect_store);
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
@@ -84,7 +84,7 @@
   IoLoop control;
   PeerHandlers no_handlers;  // The control loop accepts no peers.
   PeerTransport control_peers;
-  LogClient log;
+  std::unique_ptr<KeyedLogPort> log;
   UdpPort datagrams;
   SuspectHost suspects;
   OnceHost once;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -97,7 +97,7 @@
 
 Sidecar::Sidecar(Settings node_settings,
                  const PlatformPort& platform_port,
-                 const StoreMaker& make_store)
+                 const StoreConnector& connect_store)
     : settings(std::move(node_settings)),
       platform(platform_port),
       identity{this->settings.fleet, this->settings.address,
@@ -108,7 +108,7 @@
       handlers(this->MakeHandlers()),
       peers(this->loop, this->identity, this->handlers, this->peer_counters),
       datagrams(this->loop, this->settings.address),
-      store(make_store(this->loop)),
+      store(connect_store(this->loop, this->settings.log_address)),
       suspects(this->loop, this->peers, this->settings.address),
       owner(this->loop,
             this->platform,
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -1,7 +1,7 @@
 // One node on a platform that brings its own operator interface: every machine
 // and adapter of a process, wired together on one loop.
 //
-//   Sidecar sidecar(settings, platform, store);
+//   Sidecar sidecar(settings, platform, connect_store);
 //   if (auto started = sidecar.Start(); !started) { /* started.error() */ }
 //   ...
 //   sidecar.Shutdown();   // Cuts no call in flight.
@@ -38,12 +38,9 @@
 
 class Sidecar {
  public:
-  // Makes the store's client on the sidecar's loop.
-  using StoreMaker = std::function<std::unique_ptr<KeyedLogPort>(IoLoop&)>;
-
   Sidecar(Settings settings,
           const PlatformPort& platform,
-          const StoreMaker& make_store);
+          const StoreConnector& connect_store);
   ~Sidecar();
   Sidecar(const Sidecar&) = delete;
   Sidecar& operator=(const Sidecar&) = delete;
--- a/tests/log/log_store_test.cc
+++ b/tests/log/log_store_test.cc
@@ -9,8 +9,8 @@
 #include <optional>
 #include <string>
 
+#include "platform/store_client.h"
 #include "src/adapters/fiber_sync.h"
-#include "src/adapters/log_client.h"
 
 namespace tanagerledge {
 namespace {
@@ -72,7 +72,7 @@
 
   IoLoop loop;
   LogStore store;
-  std::optional<LogClient> client;
+  std::optional<platform::StoreClient> client;
   std::optional<HttpClient> http;
 };
 
@@ -200,6 +200,55 @@
   EXPECT_EQ(this->store.counts().appends, 0u);
 }
 
+TEST_F(LogStoreTest, SeveralValuesOfAKey_NewestIsKeptThroughExpiry) {
+  const auto put = [&](std::string_view key, std::string_view value) {
+    return this->OnLoop(
+        [&] { return this->client->Put("keyed.nodes", key, value, kTimeout); });
+  };
+  EXPECT_EQ(put("a", "1")->value, 0u);
+  EXPECT_EQ(put("b", std::string("\0\xff", 2))->value, 1u);
+  EXPECT_EQ(put("a", "2")->value, 2u);
+  this->store.Expire("keyed.nodes", {3});
+  const auto page = this->OnLoop(
+      [&] { return this->client->ReadNewest("keyed.nodes", kTimeout); });
+  ASSERT_TRUE(page.has_value());
+  EXPECT_EQ(page->end.value, 3u);
+  ASSERT_EQ(page->records.size(), 2u);
+  EXPECT_EQ(page->records[0].key, "a");
+  EXPECT_EQ(page->records[0].value, "2");
+  EXPECT_EQ(page->records[1].value, std::string("\0\xff", 2));
+}
+
+TEST_F(LogStoreTest, MoreKeysThanAPageHolds_AllAreRead) {
+  constexpr int kKeys = 1'203;
+  for (int i = 0; i < kKeys; ++i) {
+    ASSERT_TRUE(this->OnLoop([&] {
+      return this->client->Put("keyed.nodes", "node-" + std::to_string(i), "x",
+                               kTimeout);
+    }));
+  }
+  const auto page = this->OnLoop(
+      [&] { return this->client->ReadNewest("keyed.nodes", kTimeout); });
+  ASSERT_TRUE(page.has_value());
+  EXPECT_EQ(page->records.size(), static_cast<std::size_t>(kKeys));
+}
+
+TEST_F(LogStoreTest, KeyedRecord_IsTakenApartAndASpoiltOneIsNot) {
+  const auto whole = this->client->DecodeKeyed({{7},
+                                                std::string("\x06"
+                                                            "configvalue",
+                                                            12)});
+  ASSERT_TRUE(whole.has_value());
+  EXPECT_EQ(whole->key, "config");
+  EXPECT_EQ(whole->value, "value");
+  EXPECT_FALSE(this->client->DecodeKeyed({{7}, ""}).has_value());
+  EXPECT_FALSE(this->client
+                   ->DecodeKeyed({{7},
+                                  "\x09"
+                                  "cut"})
+                   .has_value());
+}
+
 TEST_F(LogStoreTest, FaultsThatCannotBeRead_ChangeNothing) {
   EXPECT_EQ(this->SetFaultsOverHttp(R"({"down": "perhaps"})"), 400);
   EXPECT_EQ(this->SetFaultsOverHttp("{"), 400);
