--- a/include/tanagerledge/config_follower.h
+++ b/include/tanagerledge/config_follower.h
@@ -4,8 +4,8 @@
 // Failure pattern: the store is down, slow, turns this node away, loses answers
 // or has dropped its history, while the configuration goes on changing. The
 // store is asked with a long wait, so a quiet store costs few calls; a read
-// that is overdue or failed sends the node to its peers, and a peer that
-// mentions a newer version is asked at once.
+// that is overdue or failed sends the node to its peers, and so does a newer
+// version that a peer mentions and the store has not given soon after.
 //
 // Pure: events and the time in, actions out. One read of the store and one
 // question to a peer are under way at a time.
@@ -51,6 +51,10 @@
   std::chrono::milliseconds longest_retry{600};
   // Between questions to peers while the store does not answer.
   std::chrono::milliseconds peer_interval{500};
+  // A peer that has a newer version is asked when the store has not given it
+  // within this: a configuration has some 50 KB and must not cross zones for
+  // nothing, and it must be in force within 2 s.
+  std::chrono::milliseconds store_grace{700};
 };
 
 class ConfigFollower {
@@ -79,14 +83,18 @@
 
  private:
   void OnStoreAnswered();
+  bool IsBehind() const {
+    return this->newest_heard > this->in_force.value_or(0);
+  }
 
   ConfigFollowerConfig config;
   std::optional<std::uint64_t> in_force;
   std::optional<LogOffset> next;  // Where to read on; newest first without it.
   bool reading = false;
   bool asking = false;
-  bool heard_of_newer = false;
-  int failures = 0;  // Of the store in a row.
+  std::uint64_t newest_heard = 0;       // Of peers.
+  std::optional<Instant> behind_since;  // A peer has a newer version.
+  int failures = 0;                     // Of the store in a row.
   Instant next_read{};
   Instant next_ask{};
 };
--- a/include/tanagerledge/placement.h
+++ b/include/tanagerledge/placement.h
@@ -28,6 +28,7 @@
   ServiceName service;
   std::span<const NodeId> tried;        // Not these again.
   std::chrono::microseconds target{0};  // Time left to the target; may be 0.
+  std::size_t bytes = 0;  // Expected of the request and its answer.
 };
 
 class Placement {
--- a/src/distribution/config_follower.cc
+++ b/src/distribution/config_follower.cc
@@ -18,7 +18,9 @@
       out.emplace_back(ReadNewestConfig{});
     }
   }
-  const bool needs_peer = this->failures > 0 || this->heard_of_newer;
+  const bool overdue = this->behind_since &&
+                       now - *this->behind_since >= this->config.store_grace;
+  const bool needs_peer = this->failures > 0 || overdue;
   if (needs_peer && !this->asking && now >= this->next_ask) {
     this->asking = true;
     this->next_ask = now + this->config.peer_interval;
@@ -66,13 +68,12 @@
 
 void ConfigFollower::OnPeerAnswered(Instant) {
   this->asking = false;
-  this->heard_of_newer = false;
 }
 
 void ConfigFollower::OnPeerVersion(std::uint64_t version, Instant now) {
-  if (!this->in_force || version > *this->in_force) {
-    this->heard_of_newer = true;
-    this->next_ask = std::min(this->next_ask, now);
+  this->newest_heard = std::max(this->newest_heard, version);
+  if (this->IsBehind() && !this->behind_since) {
+    this->behind_since = now;
   }
 }
 
@@ -81,6 +82,9 @@
     return false;
   }
   this->in_force = version;
+  if (!this->IsBehind()) {
+    this->behind_since.reset();
+  }
   return true;
 }
 
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -16,12 +16,16 @@
 constexpr milliseconds kUnreachablePause{500};
 // The risk to miss the target grows from this part of it, up to the whole risk
 // where the expected time is the target: work times vary by about half.
-constexpr double kSafeShare = 0.5;
+constexpr double kSafeShare = 0.6;
 // Past the target each further one costs this much more.
 constexpr double kLateCost = 0.5;
-// Crossing zones is worth it when it takes off this much of the risk: its bytes
-// are paid for, and a call that is in time in its own zone gains nothing.
-constexpr double kZoneCost = 0.35;
+// Crossing zones is worth it when it takes off this much of the risk for each
+// KB: its bytes are paid for, and a call that is in time in its own zone gains
+// nothing. Even a small call costs something, and no call is worth waiting for
+// ever.
+constexpr double kZoneCostPerKb = 0.8;
+constexpr double kLeastZoneCost = 0.6;
+constexpr double kMostZoneCost = 1.2;
 // Among places without risk the quicker one: reports are never quite fresh.
 constexpr double kTimeCost = 0.1;
 // A call that fails is repeated or lost.
@@ -90,7 +94,12 @@
       std::clamp((expected - kSafeShare) / (1.0 - kSafeShare), 0.0, 1.0);
   double cost = risk * risk + kLateCost * std::max(0.0, expected - 1.0) +
                 kTimeCost * expected;
-  cost += place.zone == this->zone ? 0.0 : kZoneCost;
+  if (place.zone != this->zone) {
+    constexpr double kBytesInKb = 1024;
+    cost +=
+        std::clamp(kZoneCostPerKb * static_cast<double>(ask.bytes) / kBytesInKb,
+                   kLeastZoneCost, kMostZoneCost);
+  }
   cost += kFailureCost * evidence.load.failing_permille / 1000.0;
   const bool reachable =
       evidence.connected && now >= evidence.unreachable_until;
--- a/src/sidecar/mesh_entry.cc
+++ b/src/sidecar/mesh_entry.cc
@@ -164,6 +164,7 @@
   const auto took = duration_cast<microseconds>(Now() - call.arrived);
   this->metrics.Count(RankOf(call.route->priority), outcome, reason, took);
   if (outcome == Outcome::kOk) {
+    this->LearnBytes(call, reply);
     HttpResponse response;
     response.status = reply.status;
     response.body = std::move(reply.body);
@@ -194,6 +195,16 @@
       {outcome, reason, microseconds(reply.room_in_us)});
 }
 
+void MeshEntry::LearnBytes(const Call& call, const wire::CallReply& reply) {
+  // Fields, lengths and frames around the bodies: about this much in all.
+  constexpr double kAround = 350;
+  constexpr double kMeanWeight = 1.0 / 32;
+  const double bytes = kAround + static_cast<double>(call.message.body.size() +
+                                                     reply.body.size());
+  double& mean = this->mean_bytes[call.route->name];
+  mean = mean == 0 ? bytes : mean + (bytes - mean) * kMeanWeight;
+}
+
 // Attempts --------------------------------------------------------------------
 
 wire::CallReply MeshEntry::RunAttempts(Call& call) {
@@ -212,6 +223,7 @@
     ask.tried = call.tried;
     ask.target = std::max(microseconds{0},
                           duration_cast<microseconds>(call.target - now));
+    ask.bytes = static_cast<std::size_t>(this->mean_bytes[call.route->name]);
     const auto node = this->placement.Choose(ask, now);
     if (!node || now >= call.deadline) {
       break;
--- a/src/sidecar/mesh_entry.h
+++ b/src/sidecar/mesh_entry.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "src/adapters/event_log.h"
@@ -71,6 +72,7 @@
   bool MayTryElsewhere(Call& call, const wire::CallReply& reply);
   HttpResponse Finish(const Call& call, wire::CallReply& reply);
   void Leave(Call& call);
+  void LearnBytes(const Call& call, const wire::CallReply& reply);
 
   MeshEntryConfig config;
   const PlatformPort& platform;
@@ -82,6 +84,8 @@
   WeightedSplit split;
   Placement placement;
   FleetRetryBudget retries;
+  // Mean bytes of a request and its answer, by route.
+  std::unordered_map<RouteName, double> mean_bytes;
   std::int64_t last_send;  // Unique over the starts of this node.
   std::size_t in_progress = 0;
 };
--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -23,7 +23,7 @@
 constexpr milliseconds kLeastOffer{15};
 // After a stop is announced, calls that were under way are still run this long;
 // news of the stop reach all nodes in less.
-constexpr milliseconds kStopTail{1200};
+constexpr milliseconds kStopTail{1000};
 // Between two looks whether the back end still listens.
 constexpr milliseconds kDeathCheckInterval{200};
 // A health check waits for a slot like any request; heartbeats come every 1.5 s
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -20,11 +20,15 @@
 constexpr milliseconds kTick{20};
 // Lost connections are opened again this often, in ticks.
 constexpr int kTicksPerConnect = 5;
+// Bytes sent so far are logged every 10 s.
+constexpr int kTicksPerTraffic = 500;
 // Gossip has filled the table of a node by then.
 constexpr milliseconds kHintLife{5000};
 // The platform asks for readiness every second and takes a node out after two
 // misses: until then its callers go on sending.
 constexpr milliseconds kCallersLeave{2300};
+// News of the stop are with all nodes well within the time from here to there.
+constexpr milliseconds kServeOn{1300};
 // Before the grace time ends, the process is gone by itself.
 constexpr milliseconds kGraceMargin{900};
 constexpr milliseconds kShutdownStep{20};
@@ -253,6 +257,9 @@
     if (ticks % kTicksPerConnect == 0) {
       this->KeepConnections();
     }
+    if (ticks % kTicksPerTraffic == 0) {
+      this->LogTraffic();
+    }
     this->owner.OnTick();
     this->configs.OnTick();
     this->TellBackEnd();
@@ -273,6 +280,27 @@
   this->Recall();
 }
 
+void Sidecar::LogTraffic() {
+  const auto sent = [this](Channel channel) {
+    return static_cast<std::int64_t>(
+        this->peer_counters.bytes_sent[static_cast<std::size_t>(channel)]
+            .load());
+  };
+  std::int64_t datagrams_sent = 0;
+  std::ranges::for_each(this->membership.counters().by_purpose,
+                        [&](const MembershipTraffic& traffic) {
+                          datagrams_sent +=
+                              static_cast<std::int64_t>(traffic.sent_bytes);
+                        });
+  this->events.Write("traffic",
+                     {{"call_bytes", sent(Channel::kCall)},
+                      {"question_bytes", sent(Channel::kSend)},
+                      {"config_bytes", sent(Channel::kConfig)},
+                      {"membership_bytes", datagrams_sent},
+                      {"connects", static_cast<std::int64_t>(
+                                       this->peer_counters.connects.load())}});
+}
+
 // Fleet -----------------------------------------------------------------------
 
 void Sidecar::OnNodeList(const NodeDirectory::Records& records) {
@@ -477,12 +505,17 @@
     return this->owner.calls_in_progress() + this->entry.calls_in_progress();
   };
   this->stopping = true;
-  this->owner.OnNodeStopping();
-  this->TellBackEnd();
   this->events.Write("stopping",
                      {{"calls", static_cast<std::int64_t>(in_progress())}});
-  this->loop.SleepFor(std::min<std::chrono::nanoseconds>(
-      kCallersLeave, until - std::chrono::steady_clock::now()));
+  // The back end stays and its room is missed: calls of other nodes are taken
+  // until this node's own callers are about to be gone.
+  const auto sleep_until = [this, until](Instant at) {
+    this->loop.SleepFor(std::min(at, until) - std::chrono::steady_clock::now());
+  };
+  sleep_until(began + kServeOn);
+  this->owner.OnNodeStopping();
+  this->TellBackEnd();
+  sleep_until(began + kCallersLeave);
   // New connections are still taken: the back end makes calls of its own for
   // what it runs.
   this->front.CloseAfterAnswer();
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -63,6 +63,7 @@
   void Recall();
   void ShowEndpoints();
   void KeepConnections();
+  void LogTraffic();
   void OnMembers(const std::vector<Member>& members);
   void TellBackEnd();
   std::optional<HttpResponse> OnBackEndWord(const HttpRequest& request);
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -56,6 +56,7 @@
   EXPECT_EQ(out.Header("X-Expect-Instance"), "i-1");
   EXPECT_EQ(out.Header("X-Deadline-Ms"), "900");
   EXPECT_EQ(out.Header("X-Own"), "kept");
+  EXPECT_EQ(out.Header("Host"), "a.example");
   EXPECT_EQ(out.Header("Connection"), "");
   EXPECT_EQ(std::ranges::count_if(out.headers,
                                   [](const HttpHeader& header) {
