Metrics on an address of their own; calls no longer wait for a connection

Metrics were not served. Ruled out: a shorter wait: with connections opened beforehand there is nothing to wait for.

--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -113,6 +113,10 @@
   return TakeAddress(settings.readiness_address, value);
 }
 
+Fault TakeMetrics(Settings& settings, const std::string& value) {
+  return TakeAddress(settings.metrics_address, value);
+}
+
 Fault TakeService(Settings& settings, const std::string& value) {
   return TakeText(settings.service.value, value);
 }
@@ -167,7 +171,7 @@
   Fault (*take)(Settings&, const std::string&);
 };
 
-constexpr std::array<KeySpec, 15> kKeys = {{
+constexpr std::array<KeySpec, 16> kKeys = {{
     {"node", "source", false, &TakeSource},
     {"node", "fleet", true, &TakeFleet},
     {"node", "address", true, &TakeNodeAddress},
@@ -176,6 +180,7 @@
     {"node", "seeds", false, &TakeSeeds},
     {"node", "seed_hosts", false, &TakeSeedHosts},
     {"readiness", "address", false, &TakeReadiness},
+    {"metrics", "address", false, &TakeMetrics},
     {"back_end", "service", false, &TakeService},
     {"front", "address", true, &TakeFront},
     {"admin", "address", true, &TakeAdmin},
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -55,6 +55,9 @@
   // [readiness], with source = platform only
   std::string readiness_address;  // Where the platform asks: ip:port.
 
+  // [metrics], with source = platform only; empty: not served there
+  std::string metrics_address;  // Where metrics are read: ip:port.
+
   // [back_end], with source = platform only
   ServiceName service;  // Of the back end beside this node.
 
--- a/src/sidecar/config_host.h
+++ b/src/sidecar/config_host.h
@@ -38,6 +38,8 @@
   void OnTick();
   void SetMembers(const std::vector<Member>& members, const NodeId& self);
 
+  bool store_answers() const { return this->follower.store_answers(); }
+
   // Another node asks for anything newer than it has.
   std::string OnPeerQuestion(std::string_view question) const;
   // Another node says which version it has.
--- a/src/sidecar/mesh_entry.cc
+++ b/src/sidecar/mesh_entry.cc
@@ -306,6 +306,12 @@
 }
 
 wire::CallReply MeshEntry::SendToPeer(Call& call, const NodeId& node) {
+  // A call that waits for a connection is held for nothing: connections are
+  // opened beforehand, and one that is not there may never be.
+  if (!this->peers.IsConnected(node)) {
+    return MakeReply(Outcome::kNotRun, Reason::kPeerUnreachable,
+                     "no connection to the node");
+  }
   const auto wait =
       duration_cast<microseconds>(call.deadline - Now()) + kReplyMargin;
   const auto bytes =
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -35,6 +35,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
+constexpr std::string_view kMetricsType = "text/plain; version=0.0.4";
 
 Incarnation NewIncarnation() {
   const auto since = std::chrono::system_clock::now().time_since_epoch();
@@ -161,7 +162,15 @@
               })),
       readiness(this->loop, HttpServer::Handler([this](const HttpRequest&) {
                   return std::optional(this->OnReadiness());
-                })) {}
+                })),
+      shown(this->registry),
+      metrics_server(this->loop,
+                     HttpServer::Handler([this](const HttpRequest&) {
+                       return std::optional(MakeResponse(kOk, kMetricsType,
+                                                         this->shown.Scrape()));
+                     })) {
+  this->ShowMetrics();
+}
 
 Sidecar::~Sidecar() = default;
 
@@ -206,6 +215,12 @@
         return bind("admin", this->control.Accept(
                                  CheckedAddress(this->settings.admin_address)));
       })
+      .and_then([&] {
+        return this->settings.metrics_address.empty()
+                   ? tl::expected<void, std::string>()
+                   : bind("metrics", this->metrics_server.Accept(CheckedAddress(
+                                         this->settings.metrics_address)));
+      })
       .and_then([&] {
         return bind("readiness", this->readiness.Accept(CheckedAddress(
                                      this->settings.readiness_address)));
@@ -476,6 +491,43 @@
                    this->stopping ? "stopping\n" : "no configuration yet\n");
 }
 
+void Sidecar::ShowMetrics() {
+  const auto show = [this](const char* name, const char* help, auto read) {
+    this->shown.Show(name, help,
+                     [read] { return static_cast<double>(read()); });
+  };
+  show("tanagerledge_ready", "1 when callers may be sent here.",
+       [this] { return this->IsReady(); });
+  show("tanagerledge_config_version", "Version of the configuration in force.",
+       [this] { return this->mesh ? this->mesh->version() : 0; });
+  show("tanagerledge_store_answers", "1 unless the store failed last.",
+       [this] { return this->configs.store_answers(); });
+  show("tanagerledge_live_members", "Nodes that count as living.",
+       [this] { return std::ranges::count_if(this->members, &IsLive); });
+  show("tanagerledge_back_end_state",
+       "Of the own back end: 0 warming, 1 ready, 2 draining, 3 gone.",
+       [this] { return this->owner.State(); });
+  show("tanagerledge_calls_running", "Calls that hold a slot of the back end.",
+       [this] { return this->owner.Load().running; });
+  show("tanagerledge_calls_waiting", "Calls that wait for a slot.",
+       [this] { return this->owner.Load().queued; });
+  show("tanagerledge_calls_entered", "Callers' requests under way here.",
+       [this] { return this->entry.calls_in_progress(); });
+  show("tanagerledge_back_end_failing_permille",
+       "Of recent calls there, those without a good answer.",
+       [this] { return this->owner.Load().failing_permille; });
+  show("tanagerledge_peer_connects_total", "Connections opened to nodes.",
+       [this] { return this->peer_counters.connects.load(); });
+  show("tanagerledge_call_bytes_total", "Bytes of calls sent to nodes.",
+       [this] {
+         return this->peer_counters
+             .bytes_sent[static_cast<std::size_t>(Channel::kCall)]
+             .load();
+       });
+  show("tanagerledge_log_lines_dropped_total", "Log lines over the limit.",
+       [this] { return this->events.dropped(); });
+}
+
 // Reload and end --------------------------------------------------------------
 
 void Sidecar::Reload(const Settings& next) {
@@ -533,6 +585,7 @@
   this->front.Close();
   this->control.Close();
   this->readiness.Close();
+  this->metrics_server.Close();
   this->peers.Close();
   this->owner.Close();
   this->store->Close();
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -32,6 +32,7 @@
 #include "src/sidecar/node_directory.h"
 #include "src/sidecar/owner.h"
 #include "src/sidecar/platform_port.h"
+#include "src/sidecar/sidecar_metrics.h"
 #include "tanagerledge/ports.h"
 
 namespace tanagerledge {
@@ -69,6 +70,7 @@
   std::optional<HttpResponse> OnBackEndWord(const HttpRequest& request);
   HttpResponse OnReadiness() const;
   bool IsReady() const;
+  void ShowMetrics();
   void RunShutdown();
 
   Settings settings;
@@ -92,6 +94,8 @@
   HttpServer front;
   HttpServer control;
   HttpServer readiness;
+  SidecarMetrics shown;
+  HttpServer metrics_server;
 
   std::shared_ptr<const MeshConfig> mesh;
   std::vector<Member> members;
