--- a/apps/tanagerledged_main.cc
+++ b/apps/tanagerledged_main.cc
@@ -53,7 +53,7 @@
 int RunSidecar(const std::string& path,
                const tanagerledge::Settings& settings) {
   const tanagerledge::StopSignal stop;
-  const tanagerledge::platform::Platform platform;
+  const tanagerledge::platform::Platform platform{};
   tanagerledge::Sidecar sidecar(settings, platform,
                                 tanagerledge::platform::ConnectStore);
   if (const auto started = sidecar.Start(); !started) {
--- a/src/sidecar/config_host.cc
+++ b/src/sidecar/config_host.cc
@@ -120,8 +120,10 @@
 
 void ConfigHost::Do(const AskPeerForConfig&) {
   // Peers take turns: one that is as cut off as this node is no help.
-  std::ranges::rotate(this->others,
-                      this->others.begin() + (this->others.empty() ? 0 : 1));
+  if (!this->others.empty()) {
+    std::rotate(this->others.begin(), this->others.begin() + 1,
+                this->others.end());
+  }
   const auto first = std::ranges::find_if(
       this->others,
       [this](const NodeId& node) { return this->peers.IsConnected(node); });
--- a/src/sidecar/mesh_entry.cc
+++ b/src/sidecar/mesh_entry.cc
@@ -25,6 +25,8 @@
 constexpr milliseconds kAskPause{20};
 constexpr int kMostAsks = 4;
 constexpr int kServerErrorStatus = 500;
+// A node that stops ends its last calls and is started again in about a second.
+constexpr milliseconds kNextStart{500};
 
 Instant Now() {
   return std::chrono::steady_clock::now();
@@ -105,6 +107,10 @@
     return this->platform.ToCaller(
         {Outcome::kNotRun, Reason::kNodeNotReady, milliseconds(200)});
   }
+  if (this->refusing_callers && caller->parent_id.empty()) {
+    return this->platform.ToCaller(
+        {Outcome::kNotRun, Reason::kShuttingDown, kNextStart});
+  }
   const auto call = std::make_shared<Call>();
   call->mesh = this->mesh;
   call->route = call->mesh->Match(caller->host, request.target);
--- a/src/sidecar/mesh_entry.h
+++ b/src/sidecar/mesh_entry.h
@@ -57,6 +57,10 @@
   void SetConnected(const NodeId& node, bool connected) {
     this->placement.SetConnected(node, connected);
   }
+  // From now on only calls of the own back end are taken: it needs them for
+  // what it runs. Callers are refused, and so come back to the node's next
+  // start.
+  void RefuseCallers() { this->refusing_callers = true; }
   void SetLiveNodes(std::size_t count) { this->retries.SetLiveNodes(count); }
 
   std::size_t calls_in_progress() const { return this->in_progress; }
@@ -88,6 +92,7 @@
   std::unordered_map<RouteName, double> mean_bytes;
   std::int64_t last_send;  // Unique over the starts of this node.
   std::size_t in_progress = 0;
+  bool refusing_callers = false;
 };
 
 }  // namespace tanagerledge
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -33,6 +33,8 @@
 // work in the last sixth of the platform's 6 s may be cut.
 constexpr milliseconds kGraceMargin{1000};
 constexpr milliseconds kShutdownStep{20};
+// A refusal is written within some ms of the request.
+constexpr milliseconds kLastAnswers{60};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
@@ -571,11 +573,15 @@
   sleep_until(began + kCallersLeave);
   // New connections are still taken: the back end makes calls of its own for
   // what it runs.
+  this->entry.RefuseCallers();
   this->front.CloseAfterAnswer();
   this->front.CloseIdle();
   while (in_progress() > 0 && std::chrono::steady_clock::now() < until) {
     this->loop.SleepFor(kShutdownStep);
   }
+  // What has been read is still answered; what comes now finds no listener.
+  this->front.Drain();
+  this->loop.SleepFor(kLastAnswers);
   this->membership.Leave();
   this->events.Write(
       "stopped",
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -28,7 +28,7 @@
     return request;
   }
 
-  const Platform platform;
+  const Platform platform{};
 };
 
 // Requests --------------------------------------------------------------------
