--- a/include/tanagerledge/fleet_retry_budget.h
+++ b/include/tanagerledge/fleet_retry_budget.h
@@ -33,7 +33,6 @@
   explicit FleetRetryBudget(FleetRetryConfig retry_config)
       : config(retry_config) {}
 
-  void SetConfig(FleetRetryConfig next) { this->config = next; }
   void SetLiveNodes(std::size_t count) { this->live_nodes = count; }
 
   // A request for the service was sent on for the first time.
--- a/include/tanagerledge/placement.h
+++ b/include/tanagerledge/placement.h
@@ -50,8 +50,6 @@
   void OnUnreachable(const NodeId& node, Instant now);
   void OnGivenUp(const NodeId& node);  // The caller left: nothing is learned.
 
-  std::size_t EndpointsOf(const ServiceName& service) const;
-
  private:
   struct Place {
     NodeId node;
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -96,9 +96,7 @@
   return std::nullopt;
 }
 
-// Addresses of the seeds for other purposes: only their hosts count. The port
-// is put in once the node's own address is known.
-Fault TakeSeedHosts(Settings& settings, const std::string& value) {
+Fault AddSeeds(Settings& settings, const std::string& value) {
   for (const std::string& seed : ListOf(value)) {
     NodeId node;
     if (const Fault fault = TakeAddress(node.value, seed)) {
@@ -109,6 +107,16 @@
   return std::nullopt;
 }
 
+Fault TakeSeeds(Settings& settings, const std::string& value) {
+  return value.empty() ? Fault("must not be empty") : AddSeeds(settings, value);
+}
+
+// Addresses of the seeds for other purposes: only their hosts count, and there
+// may be none. The port is put in once the node's own address is known.
+Fault TakeSeedHosts(Settings& settings, const std::string& value) {
+  return AddSeeds(settings, value);
+}
+
 Fault TakeReadiness(Settings& settings, const std::string& value) {
   return TakeAddress(settings.readiness_address, value);
 }
@@ -121,17 +129,6 @@
   return TakeText(settings.service.value, value);
 }
 
-Fault TakeSeeds(Settings& settings, const std::string& value) {
-  for (const std::string& seed : ListOf(value)) {
-    NodeId node;
-    if (const Fault fault = TakeAddress(node.value, seed)) {
-      return fault;
-    }
-    settings.seeds.push_back(std::move(node));
-  }
-  return std::nullopt;
-}
-
 Fault TakeFront(Settings& settings, const std::string& value) {
   return TakeAddress(settings.front_address, value);
 }
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -157,9 +157,4 @@
   --this->seen[node].in_flight;
 }
 
-std::size_t Placement::EndpointsOf(const ServiceName& service) const {
-  const auto found = this->by_service.find(service);
-  return found == this->by_service.end() ? 0 : found->second.size();
-}
-
 }  // namespace tanagerledge
--- a/src/sidecar/mesh_entry.h
+++ b/src/sidecar/mesh_entry.h
@@ -68,7 +68,6 @@
  private:
   struct Call;
 
-  OwnAnswer RefuseUnrouted(Reason reason) const;
   wire::CallReply RunAttempts(Call& call);
   wire::CallReply Attempt(Call& call, const NodeId& node);
   wire::CallReply SendToPeer(Call& call, const NodeId& node);
