Configurations of half a MB read once, not four times; cold back ends serve in time

With 3,000 routes a version has half a MB, and the node read every version of a storm; after the loss of power nodes sent each other 13 MB of it between zones, as reads of the store ended at 1.2 s and each question to a peer brought the whole text.

One record a read; when more was written than read, the follower goes to the last record, and to the newest of the key if that one is no configuration. What was replaced meanwhile is not parsed. Reads of the store may take 3 s; a node without any configuration asks a peer after 1 s. Peers of the own zone come first, and the text travels compressed. The queue's margin takes at most four tenths of the time that a call can wait.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -110,6 +110,6 @@
 
 struct ConfigAnswer {
   1: i64 version
-  /** As the store holds it; empty when the version is not newer. */
+  /** As the store holds it, compressed; empty when the version is not newer. */
   2: binary content
 }
--- a/include/tanagerledge/config_follower.h
+++ b/include/tanagerledge/config_follower.h
@@ -5,7 +5,8 @@
 // or has dropped its history, while the configuration goes on changing. The
 // store is asked with a long wait, so a quiet store costs few calls; a read
 // that is overdue or failed sends the node to its peers, and so does a newer
-// version that a peer mentions and the store has not given soon after.
+// version that a peer mentions and the store has not given soon after. Versions
+// that come in quick succession are not all read: the newest replaces the rest.
 //
 // Pure: events and the time in, actions out. One read of the store and one
 // question to a peer are under way at a time.
@@ -27,7 +28,7 @@
 // Read the newest value; it replaces whatever is known.
 struct ReadNewestConfig {};
 
-// Read the records from here on, waiting for the next one.
+// Read one record from here on, waiting for it.
 struct ReadConfigRecords {
   LogOffset from;
   std::chrono::milliseconds wait{0};
@@ -40,6 +41,13 @@
     std::variant<ReadNewestConfig, ReadConfigRecords, AskPeerForConfig>;
 using FollowActions = std::vector<FollowAction>;
 
+// What a read of records brought.
+struct ConfigRecordsRead {
+  LogOffset next;            // One past what was read.
+  LogOffset end;             // One past the last record of the stream.
+  bool held_config = false;  // Whether a configuration was among it.
+};
+
 struct ConfigFollowerConfig {
   // How long the store holds a read without news. A connection that went silent
   // is noticed after this; a store call is priced, so it is not shorter.
@@ -53,6 +61,9 @@
   // store: the platform's bounds hold again 3 s after it.
   std::chrono::milliseconds retry{200};
   std::chrono::milliseconds longest_retry{600};
+  // A node that has no configuration yet asks a peer this long after its start:
+  // on a slow link the store may need more than a second for a large one.
+  std::chrono::milliseconds start_grace{1000};
   // Between questions to peers while the store does not answer.
   std::chrono::milliseconds peer_interval{500};
   // A peer that has a newer version is asked when the store has not given it
@@ -71,7 +82,7 @@
 
   // How a read ended.
   void OnNewest(LogOffset end, Instant now);
-  void OnRecords(LogOffset next, Instant now);
+  void OnRecords(const ConfigRecordsRead& read, Instant now);
   void OnStoreError(LogErrorKind kind, Instant now);
 
   // How a question ended, and what a peer said that it has in force.
@@ -93,6 +104,10 @@
 
   ConfigFollowerConfig config;
   std::optional<std::uint64_t> in_force;
+  std::optional<Instant> started;
+  // The next read skips records, on the guess that the last one of the stream
+  // is a configuration, which replaces all before it.
+  bool skipping = false;
   std::optional<LogOffset> next;  // Where to read on; newest first without it.
   bool reading = false;
   bool asking = false;
--- a/include/tanagerledge/slot_queue.h
+++ b/include/tanagerledge/slot_queue.h
@@ -123,7 +123,7 @@
   class SlotEnds;
 
   std::chrono::microseconds Estimate(const std::string& work) const;
-  std::chrono::microseconds LikelyMost(const std::string& work) const;
+  bool IsInTime(const SlotRequest& request, Instant start, Instant now) const;
   void Learn(const std::string& work, std::chrono::microseconds took);
   void NoteInflow(const Order& order,
                   std::chrono::microseconds work,
--- a/src/admission/slot_queue.cc
+++ b/src/admission/slot_queue.cc
@@ -22,6 +22,10 @@
 // deviations, some two standard ones, more than the mean. Replayed at twice the
 // slots: 0.638 of the worth, against 0.620 with one and 0.621 with none.
 constexpr double kSafeDeviations = 2.5;
+// The margin takes at most this part of the time that a call can wait. Replayed
+// with work of 180 ms for a target of 300: 0.62 of the worth, 0.52 with 0.6 and
+// 0.17 with 0.75.
+constexpr double kMostMargin = 0.4;
 // How long work that was taken in counts for the share of the slots that its
 // class takes. Replayed: with 600 ms 4 of 600 refusals come late, with 400 ms
 // 8, with 200 ms 47.
@@ -142,12 +146,20 @@
   return std::chrono::duration_cast<microseconds>(estimate.mean());
 }
 
-microseconds SlotQueue::LikelyMost(const std::string& work) const {
-  const auto found = this->estimates.find(work);
+// Whether a call that starts then is likely to meet its target. The margin
+// never takes all the time that the call can wait: where even a call that
+// starts at once misses its target now and then, waiting still makes the
+// difference.
+bool SlotQueue::IsInTime(const SlotRequest& request,
+                         Instant start,
+                         Instant now) const {
+  const auto found = this->estimates.find(request.work);
   const TimeEstimate& estimate =
       found == this->estimates.end() ? this->overall : found->second;
-  return std::chrono::duration_cast<microseconds>(
-      estimate.mean() + kSafeDeviations * estimate.deviation());
+  const Seconds room = request.target - now - estimate.mean();
+  const Seconds margin =
+      std::min(kSafeDeviations * estimate.deviation(), kMostMargin * room);
+  return start - now <= room - margin;
 }
 
 void SlotQueue::Learn(const std::string& work, microseconds took) {
@@ -172,7 +184,7 @@
   const microseconds work = this->Estimate(request.work);
   Instant room = this->PredictRoom(order, now);
   Instant start = this->WithInflowAhead(room, order.order_class, now);
-  if (start + this->LikelyMost(request.work) > request.target) {
+  if (!this->IsInTime(request, start, now)) {
     order.order_class.late = true;
     room = this->PredictRoom(order, now);
     start = this->WithInflowAhead(room, order.order_class, now);
--- a/src/distribution/config_follower.cc
+++ b/src/distribution/config_follower.cc
@@ -20,7 +20,11 @@
   }
   const bool overdue = this->behind_since &&
                        now - *this->behind_since >= this->config.store_grace;
-  const bool needs_peer = this->failures > 0 || overdue;
+  const Instant begun = this->started.value_or(now);
+  this->started = begun;
+  const bool overdue_start =
+      !this->in_force && now - begun >= this->config.start_grace;
+  const bool needs_peer = this->failures > 0 || overdue || overdue_start;
   if (needs_peer && !this->asking && now >= this->next_ask) {
     this->asking = true;
     this->next_ask = now + this->config.peer_interval;
@@ -42,15 +46,26 @@
   // end, and nothing to serve.
 }
 
-void ConfigFollower::OnRecords(LogOffset from, Instant now) {
+void ConfigFollower::OnRecords(const ConfigRecordsRead& read, Instant now) {
   this->OnStoreAnswered();
-  const bool news = this->next != from;
-  this->next = from;
-  this->next_read = news ? now + this->config.gather : now;
+  const bool news = this->next != read.next;
+  const bool guessed_wrong = this->skipping && !read.held_config;
+  this->skipping = false;
+  this->next_read = now;
+  if (guessed_wrong) {
+    this->next.reset();
+  } else if (read.end.value > read.next.value) {
+    this->next = LogOffset{read.end.value - 1};
+    this->skipping = true;
+  } else {
+    this->next = read.next;
+    this->next_read = news ? now + this->config.gather : now;
+  }
 }
 
 void ConfigFollower::OnStoreError(LogErrorKind kind, Instant now) {
   this->reading = false;
+  this->skipping = false;
   if (kind == LogErrorKind::kExpired || kind == LogErrorKind::kRefused) {
     // The records are gone, but the newest of a key is kept for good.
     this->next.reset();
--- a/src/distribution/state_codec.h
+++ b/src/distribution/state_codec.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <tl/expected.hpp>
 
+#include "src/distribution/compression.h"
+
 namespace tanagerledge {
 
 inline constexpr std::size_t kMaxStateBytes = 16 * 1024 * 1024;
@@ -18,10 +20,6 @@
   std::string hash;    // XXH3 128 of the checkpoint's bytes.
 };
 
-struct UnpackError {
-  std::string text;
-};
-
 PackedState PackState(const wire::Checkpoint& checkpoint);
 
 tl::expected<wire::Checkpoint, UnpackError> UnpackState(
--- a/src/sidecar/config_host.cc
+++ b/src/sidecar/config_host.cc
@@ -6,19 +6,25 @@
 #include <variant>
 
 #include "src/adapters/codec.h"
+#include "src/distribution/compression.h"
 
 namespace tanagerledge {
 namespace {
 
 using std::chrono::milliseconds;
 
-// The store answers in some ms; a slow one takes up to 60 times as long.
-constexpr milliseconds kStoreTimeout{1200};
+// The store answers in some ms, a slow one takes up to 60 times as long, and a
+// link of 7 Mbit/s takes 0.8 s for a configuration of 3,000 routes. Connections
+// that went silent are found sooner, by probes.
+constexpr milliseconds kStoreTimeout{3000};
 // After a failure of the store other nodes may be cut from it for as long: the
 // platform's outages last some seconds.
 constexpr std::chrono::seconds kTellPeersFor{15};
 constexpr milliseconds kPeerTimeout{800};
-constexpr std::size_t kRecordsPerRead = 64;
+// Of questions to peers, one in so many goes to another zone: the own one may
+// be cut off as a whole.
+constexpr int kQuestionsPerFar = 3;
+constexpr std::size_t kMaxConfigBytes = 16 * 1024 * 1024;
 
 Instant Now() {
   return std::chrono::steady_clock::now();
@@ -49,11 +55,13 @@
 }
 
 void ConfigHost::SetMembers(const std::vector<Member>& members,
-                            const NodeId& self) {
-  this->others.clear();
+                            const NodeId& self,
+                            const Zone& zone) {
+  this->near.clear();
+  this->far.clear();
   std::ranges::for_each(members, [&](const Member& member) {
     if (member.node != self && IsLive(member)) {
-      this->others.push_back(member.node);
+      (member.zone == zone ? this->near : this->far).push_back(member.node);
       this->follower.OnPeerVersion(member.release.value, Now());
     }
   });
@@ -68,18 +76,19 @@
     this->OnStoreError(page.error());
     return;
   }
-  std::ranges::for_each(page->records, [this](KeyedRecord& record) {
+  std::ranges::for_each(page->records, [this](const KeyedRecord& record) {
     if (record.key == this->platform.ConfigKey()) {
-      this->Offer(std::move(record.value), "store");
+      this->Offer(record.value, "store");
     }
   });
   this->follower.OnNewest(page->end, Now());
 }
 
 void ConfigHost::Do(const ReadConfigRecords& action) {
-  auto page = this->store.Read(this->platform.ConfigStream(), action.from,
-                               kRecordsPerRead, action.wait,
-                               action.wait + kStoreTimeout);
+  constexpr std::size_t kOneRecord = 1;
+  auto page =
+      this->store.Read(this->platform.ConfigStream(), action.from, kOneRecord,
+                       action.wait, action.wait + kStoreTimeout);
   if (!page) {
     this->OnStoreError(page.error());
     return;
@@ -88,23 +97,24 @@
     this->store_was_answering = true;
     this->events.Write("store answers again", {});
   }
-  // Only the newest one counts: a later record replaces the earlier ones whole.
-  std::string newest;
-  std::ranges::for_each(page->records, [&](const LogRecord& record) {
-    auto keyed = this->store.DecodeKeyed(record);
+  ConfigRecordsRead read;
+  read.next = action.from;
+  read.end = page->end;
+  if (!page->records.empty()) {
+    const LogRecord& record = page->records.front();
+    read.next = LogOffset{record.offset.value + 1};
+    const auto keyed = this->store.DecodeKeyed(record);
     if (!keyed) {
       this->events.Write("store record unreadable", {{"error", keyed.error()}});
-    } else if (keyed->key == this->platform.ConfigKey()) {
-      newest = std::move(keyed->value);
     }
-  });
-  if (!newest.empty()) {
-    this->Offer(std::move(newest), "store");
+    read.held_config = keyed && keyed->key == this->platform.ConfigKey();
+    // One that was replaced meanwhile is read past: reading it takes a node of
+    // a tenth of a core 0.1 s and more.
+    if (read.held_config && read.end.value <= read.next.value) {
+      this->Offer(keyed->value, "store");
+    }
   }
-  const LogOffset next = page->records.empty()
-                             ? action.from
-                             : LogOffset{page->records.back().offset.value + 1};
-  this->follower.OnRecords(next, Now());
+  this->follower.OnRecords(read, Now());
 }
 
 void ConfigHost::OnStoreError(const LogError& error) {
@@ -119,42 +129,65 @@
 // Peers -----------------------------------------------------------------------
 
 void ConfigHost::Do(const AskPeerForConfig&) {
-  // Peers take turns: one that is as cut off as this node is no help.
-  if (!this->others.empty()) {
-    std::rotate(this->others.begin(), this->others.begin() + 1,
-                this->others.end());
-  }
-  const auto first = std::ranges::find_if(
-      this->others,
-      [this](const NodeId& node) { return this->peers.IsConnected(node); });
-  const auto peer = this->newer_peer
-                        ? std::exchange(this->newer_peer, std::nullopt)
-                    : first != this->others.end() ? std::optional(*first)
-                                                  : std::nullopt;
-  if (peer) {
+  if (const auto peer = this->NextPeer()) {
     wire::ConfigQuestion question;
     question.known_version =
         static_cast<std::int64_t>(this->follower.version().value_or(0));
     const auto bytes = this->peers.Request(*peer, Channel::kConfig,
                                            Encode(question), kPeerTimeout);
-    if (bytes) {
-      auto answer = Decode<wire::ConfigAnswer>(*bytes);
-      if (answer && !answer->content.empty()) {
-        this->Offer(std::move(answer->content), "peer");
-      }
+    const auto answer = bytes ? Decode<wire::ConfigAnswer>(*bytes)
+                              : tl::unexpected(DecodeError{});
+    if (answer && !answer->content.empty()) {
+      this->OnPeerContent(*peer, answer->content);
     }
   }
   this->follower.OnPeerAnswered(Now());
 }
 
-std::string ConfigHost::OnPeerQuestion(std::string_view bytes) const {
+void ConfigHost::OnPeerContent(const NodeId& peer, const std::string& bytes) {
+  const auto unpacked = Unpack(bytes, kMaxConfigBytes);
+  if (!unpacked) {
+    this->events.Write(
+        "configuration unreadable",
+        {{"from", peer.value}, {"error", unpacked.error().text}});
+    return;
+  }
+  if (this->Offer(*unpacked, "peer")) {
+    this->packed = bytes;
+  }
+}
+
+// Peers take turns: one that is as cut off as this node is no help. Those of
+// the own zone come first, since a configuration has up to half a MB.
+std::optional<NodeId> ConfigHost::NextPeer() {
+  if (this->newer_peer) {
+    return std::exchange(this->newer_peer, std::nullopt);
+  }
+  const auto next_of = [this](std::vector<NodeId>& nodes) {
+    if (!nodes.empty()) {
+      std::rotate(nodes.begin(), nodes.begin() + 1, nodes.end());
+    }
+    const auto found = std::ranges::find_if(nodes, [this](const NodeId& node) {
+      return this->peers.IsConnected(node);
+    });
+    return found == nodes.end() ? std::nullopt : std::optional(*found);
+  };
+  const bool far_first = ++this->peer_questions % kQuestionsPerFar == 0;
+  auto peer = next_of(far_first ? this->far : this->near);
+  return peer ? peer : next_of(far_first ? this->near : this->far);
+}
+
+std::string ConfigHost::OnPeerQuestion(std::string_view bytes) {
   const auto question = Decode<wire::ConfigQuestion>(bytes);
   wire::ConfigAnswer answer;
   const auto version = this->follower.version();
   if (question && version) {
     answer.version = static_cast<std::int64_t>(*version);
     if (answer.version > question->known_version) {
-      answer.content = this->content;
+      if (this->packed.empty()) {
+        this->packed = Pack(this->content);
+      }
+      answer.content = this->packed;
     }
   }
   return Encode(answer);
@@ -167,7 +200,11 @@
   }
   const auto version = static_cast<std::uint64_t>(notice->version);
   if (version > this->follower.version().value_or(0)) {
-    this->newer_peer = from;
+    const bool is_near =
+        std::ranges::find(this->near, from) != this->near.end();
+    if (is_near || !this->newer_peer) {
+      this->newer_peer = from;
+    }
     this->follower.OnPeerVersion(version, Now());
   }
 }
@@ -176,27 +213,30 @@
   wire::ConfigAnswer notice;
   notice.version = static_cast<std::int64_t>(version);
   const std::string bytes = Encode(notice);
-  std::ranges::for_each(this->others, [&](const NodeId& node) {
+  const auto tell = [&](const NodeId& node) {
     if (this->peers.IsConnected(node)) {
       this->peers.Send(node, Channel::kConfig, bytes);
     }
-  });
+  };
+  std::ranges::for_each(this->near, tell);
+  std::ranges::for_each(this->far, tell);
 }
 
 // In force --------------------------------------------------------------------
 
-void ConfigHost::Offer(std::string next, std::string_view source) {
+bool ConfigHost::Offer(std::string_view next, std::string_view source) {
   auto mesh = this->platform.ReadConfig(next);
   if (!mesh) {
     this->events.Write("configuration unreadable",
                        {{"from", source}, {"error", mesh.error()}});
-    return;
+    return false;
   }
   const std::uint64_t version = (*mesh)->version();
   if (!this->follower.Take(version)) {
-    return;
+    return false;
   }
-  this->content = std::move(next);
+  this->content = next;
+  this->packed.clear();
   this->events.Write(
       "configuration in force",
       {{"version", static_cast<std::int64_t>(version)},
@@ -206,6 +246,7 @@
   if (Now() < this->tell_peers_until) {
     this->TellPeers(version);
   }
+  return true;
 }
 
 }  // namespace tanagerledge
--- a/src/sidecar/config_host.h
+++ b/src/sidecar/config_host.h
@@ -36,12 +36,14 @@
 
   // Every 20 ms or so.
   void OnTick();
-  void SetMembers(const std::vector<Member>& members, const NodeId& self);
+  void SetMembers(const std::vector<Member>& members,
+                  const NodeId& self,
+                  const Zone& zone);
 
   bool store_answers() const { return this->follower.store_answers(); }
 
   // Another node asks for anything newer than it has.
-  std::string OnPeerQuestion(std::string_view question) const;
+  std::string OnPeerQuestion(std::string_view question);
   // Another node says which version it has.
   void OnPeerNotice(const NodeId& from, std::string_view notice);
 
@@ -50,8 +52,11 @@
   void Do(const ReadConfigRecords& action);
   void Do(const AskPeerForConfig& action);
   void OnStoreError(const LogError& error);
-  void Offer(std::string content, std::string_view source);
+  // Puts a configuration in force if it is newer; whether it is in force now.
+  bool Offer(std::string_view content, std::string_view source);
   void TellPeers(std::uint64_t version);
+  std::optional<NodeId> NextPeer();
+  void OnPeerContent(const NodeId& peer, const std::string& bytes);
 
   IoLoop& loop;
   PeerTransport& peers;
@@ -60,8 +65,12 @@
   EventLog& events;
   Sink sink;
   ConfigFollower follower;
-  std::string content;  // In force, as the store holds it.
-  std::vector<NodeId> others;
+  // In force, as the store holds it; compressed once a peer has asked.
+  std::string content;
+  std::string packed;
+  std::vector<NodeId> near;  // Other nodes of the own zone.
+  std::vector<NodeId> far;
+  int peer_questions = 0;
   std::optional<NodeId> newer_peer;  // Said to have a newer version.
   bool store_was_answering = true;
   // Until then, what comes into force is told to the other nodes: the store may
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -371,7 +371,7 @@
   const auto live =
       static_cast<std::size_t>(std::ranges::count_if(all, &IsLive));
   this->entry.SetLiveNodes(live);
-  this->configs.SetMembers(all, this->settings.address);
+  this->configs.SetMembers(all, this->settings.address, this->settings.zone);
   const auto& back_end = this->owner.back_end();
   this->suspects.SetMembers(all, back_end ? back_end->service : ServiceName{});
   this->ShowEndpoints();
--- a/tests/admission/slot_queue_replay_test.cc
+++ b/tests/admission/slot_queue_replay_test.cc
@@ -211,6 +211,21 @@
   EXPECT_GT(Total(queue), Total(arrival) + 0.2);
 }
 
+// After a loss of power all back ends are cold and take twice the time: a call
+// that starts at once meets its target only mostly. Played on sprinklo's
+// trouble-1, 745 of 1,854 calls in 2 s were late when all of them counted as
+// late and waited in one line.
+TEST_F(SlotQueueReplayTest, WorkIsLongForItsTarget_StillServedInTime) {
+  const std::vector<Kind> kinds = {{"history", 1, false, 95, milliseconds(180),
+                                    milliseconds(300), milliseconds(800), 0.82,
+                                    0.082, 1.0}};
+  const auto load = Load(kinds);
+  Results queue = ByQueue(load);
+  // 13 slots have room for three quarters of it, and one call in ten of those
+  // takes longer than its target by itself.
+  EXPECT_GT(queue["history"].Share(), 0.45);
+}
+
 // The target is the issue's: 99 in 100 refusals within an eighth of the kind's
 // target time, since a caller that is refused late can't come back in time.
 TEST_F(SlotQueueReplayTest, OneKindAtTwiceTheSlots_RefusedWithinAnEighth) {
