--- a/apps/tanagerledged_main.cc
+++ b/apps/tanagerledged_main.cc
@@ -1,6 +1,7 @@
 // tanagerledged: one node, beside one back end.
 
 #include <algorithm>
+#include <chrono>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
@@ -23,6 +24,9 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitBadUsage = 2;
 
+// Half of the 2 s within which a change is to be in force.
+constexpr std::chrono::milliseconds kSettingsCheck{1000};
+
 int RunNode(const tanagerledge::Settings& settings) {
   const tanagerledge::StopSignal stop;
   const auto logging = tanagerledge::StartLogging(settings.logging_level);
@@ -51,7 +55,8 @@
 }
 
 int RunSidecar(const std::string& path,
-               const tanagerledge::Settings& settings) {
+               const tanagerledge::Settings& settings,
+               tanagerledge::SettingsWatch& watch) {
   const tanagerledge::StopSignal stop;
   const tanagerledge::platform::Platform platform{};
   tanagerledge::Sidecar sidecar(settings, platform,
@@ -60,12 +65,13 @@
     std::cerr << "tanagerledged: " << started.error() << "\n";
     return kExitFailed;
   }
-  while (stop.Wait() == tanagerledge::SignalKind::kReload) {
-    const auto next = tanagerledge::ReadSettings(path);
-    if (next) {
-      sidecar.Reload(*next);
-    } else {
-      PrintFaults(path, next.error());  // The settings in force stay.
+  // SIGHUP tells that the file has changed, but it may also change in silence.
+  while (stop.WaitFor(kSettingsCheck) != tanagerledge::SignalKind::kStop) {
+    const auto next = watch.Look();
+    if (next && *next) {
+      sidecar.Reload(**next);
+    } else if (next) {
+      PrintFaults(path, next->error());  // The settings in force stay.
     }
   }
   sidecar.Shutdown();
@@ -102,6 +108,8 @@
                    "Ends on SIGTERM after the calls in flight.\n";
       return arguments.count("help") > 0 ? kExitOk : kExitBadUsage;
     }
+    // Made before the file is read, so that no change in between is missed.
+    tanagerledge::SettingsWatch watch(*path);
     const auto settings = tanagerledge::ReadSettings(*path);
     if (!settings) {
       PrintFaults(*path, settings.error());
@@ -112,7 +120,7 @@
       return kExitOk;
     }
     return settings->source == tanagerledge::ConfigSource::kPlatform
-               ? RunSidecar(*path, *settings)
+               ? RunSidecar(*path, *settings, watch)
                : RunNode(*settings);
   } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << "tanagerledged: " << error.what() << "\n";
--- a/src/adapters/settings.cc
+++ b/src/adapters/settings.cc
@@ -363,6 +363,15 @@
 
 constexpr std::int64_t kMaxTimeCount = 1'000'000;
 
+std::optional<std::string> ReadText(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return std::nullopt;
+  }
+  return std::string((std::istreambuf_iterator<char>(file)),
+                     std::istreambuf_iterator<char>());
+}
+
 }  // namespace
 
 tl::expected<std::chrono::microseconds, std::string> ParseTime(
@@ -392,14 +401,25 @@
 
 tl::expected<Settings, std::vector<TextFault>> ReadSettings(
     const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
+  const auto text = ReadText(path);
+  if (!text) {
     return tl::unexpected(
         std::vector<TextFault>{{0, path + " cannot be read"}});
   }
-  const std::string text((std::istreambuf_iterator<char>(file)),
-                         std::istreambuf_iterator<char>());
-  return ParseSettings(text);
+  return ParseSettings(*text);
+}
+
+SettingsWatch::SettingsWatch(std::string file_path)
+    : path(std::move(file_path)), known(ReadText(this->path).value_or("")) {}
+
+std::optional<tl::expected<Settings, std::vector<TextFault>>>
+SettingsWatch::Look() {
+  auto text = ReadText(this->path);
+  if (!text || *text == this->known) {
+    return std::nullopt;
+  }
+  this->known = std::move(*text);
+  return ParseSettings(this->known);
 }
 
 }  // namespace tanagerledge
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -87,6 +88,22 @@
 tl::expected<Settings, std::vector<TextFault>> ReadSettings(
     const std::string& path);
 
+// Notices that a settings file has changed, whether a signal told so or not.
+class SettingsWatch {
+ public:
+  // The file as it is now counts as known.
+  explicit SettingsWatch(std::string file_path);
+
+  // What the file holds, or its faults, when it is another text than at the
+  // last look. A file that can't be read is taken for one that is just being
+  // replaced: nothing until the next look.
+  std::optional<tl::expected<Settings, std::vector<TextFault>>> Look();
+
+ private:
+  std::string path;
+  std::string known;
+};
+
 // Time with a unit, such as `500us`, `20ms` or `3s`.
 tl::expected<std::chrono::microseconds, std::string> ParseTime(
     std::string_view text);
--- a/src/adapters/stop_signal.cc
+++ b/src/adapters/stop_signal.cc
@@ -2,7 +2,16 @@
 
 #include <pthread.h>
 
+#include <ctime>
+
 namespace tanagerledge {
+namespace {
+
+SignalKind KindOf(int number) {
+  return number == SIGHUP ? SignalKind::kReload : SignalKind::kStop;
+}
+
+}  // namespace
 
 StopSignal::StopSignal() {
   sigemptyset(&this->signals);
@@ -16,7 +25,17 @@
 SignalKind StopSignal::Wait() const {
   int number = 0;
   sigwait(&this->signals, &number);
-  return number == SIGHUP ? SignalKind::kReload : SignalKind::kStop;
+  return KindOf(number);
+}
+
+std::optional<SignalKind> StopSignal::WaitFor(
+    std::chrono::milliseconds longest) const {
+  const auto whole = std::chrono::duration_cast<std::chrono::seconds>(longest);
+  timespec time{};
+  time.tv_sec = whole.count();
+  time.tv_nsec = std::chrono::nanoseconds(longest - whole).count();
+  const int number = sigtimedwait(&this->signals, nullptr, &time);
+  return number > 0 ? std::optional(KindOf(number)) : std::nullopt;
 }
 
 }  // namespace tanagerledge
--- a/src/adapters/stop_signal.h
+++ b/src/adapters/stop_signal.h
@@ -6,6 +6,9 @@
 
 #include <signal.h>
 
+#include <chrono>
+#include <optional>
+
 namespace tanagerledge {
 
 enum class SignalKind { kStop, kReload };
@@ -17,6 +20,9 @@
   // Blocks the calling thread until one of the signals has come.
   SignalKind Wait() const;
 
+  // The same for at most `longest`; nothing when no signal came.
+  std::optional<SignalKind> WaitFor(std::chrono::milliseconds longest) const;
+
  private:
   sigset_t signals{};
 };
--- a/tests/adapters/settings_test.cc
+++ b/tests/adapters/settings_test.cc
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <filesystem>
+#include <fstream>
 #include <string>
 
 namespace tanagerledge {
@@ -53,6 +55,28 @@
   }
 }
 
+TEST_F(SettingsTest, FileChangesWithoutASignal_IsNoticedOnce) {
+  const std::string path = testing::TempDir() + "settings_watch.ini";
+  const auto write = [&path](const std::string& text) {
+    std::ofstream(path, std::ios::binary) << text;
+  };
+  write(Good());
+  SettingsWatch watch(path);
+  EXPECT_FALSE(watch.Look().has_value());
+  write(Good() + "[node]\nworkers = 3\n");
+  const auto changed = watch.Look();
+  ASSERT_TRUE(changed.has_value() && changed->has_value());
+  EXPECT_EQ((*changed)->workers, 3);
+  EXPECT_FALSE(watch.Look().has_value());
+  write("[node]\n");
+  const auto bad = watch.Look();
+  ASSERT_TRUE(bad.has_value());
+  EXPECT_FALSE(bad->has_value());
+  EXPECT_FALSE(watch.Look().has_value()) << "a fault is told once";
+  std::filesystem::remove(path);
+  EXPECT_FALSE(watch.Look().has_value()) << "it may just be being replaced";
+}
+
 TEST_F(SettingsTest, MissingFile_IsAFaultAndNoCrash) {
   EXPECT_FALSE(ReadSettings("no-such-settings.ini").has_value());
 }
