Peer answers are waited for as long as a slow link needs; retries kept for running requests

Half a MB takes 0.6 s on a link of 7 Mbit/s; peers gave up after 0.8 s and asked again without end. A node without a configuration told callers to come back after 0.2 s and needs 0.1 to 1.4 s.

--- a/include/tanagerledge/fleet_retry_budget.h
+++ b/include/tanagerledge/fleet_retry_budget.h
@@ -3,7 +3,11 @@
 // Load pattern: many back ends fail or turn calls away at once. Retries of all
 // nodes together must stay under a ratio of the requests plus a fixed extra in
 // any window, so each node spends only the ratio of the requests that it sent
-// itself, and its part of the extra by the number of live nodes.
+// itself, and its part of the extra by the number of live nodes. Where back
+// ends turn away half of all calls the budget is far too small for all; a part
+// of it is kept for the calls of running requests, which have no other way: a
+// caller that is refused may come back, but a request whose call is refused has
+// run in vain.
 //
 // Pure. Counts lie in slices of the window, so that any span counts.
 
@@ -19,6 +23,12 @@
 
 namespace tanagerledge {
 
+// Whose call is to be tried again.
+enum class RetryFor {
+  kCaller,
+  kRunningRequest,  // The call was made by a back end for what it runs.
+};
+
 struct FleetRetryConfig {
   double ratio = 0.2;  // Retries for each request.
   double extra = 10;   // Of the whole fleet in a window.
@@ -26,6 +36,8 @@
   // Part of the budget that is left unspent: calls that repeated runs make on
   // other nodes count as well, and nodes may disagree on how many live.
   double reserve = 0.4;
+  // Part of the rest that retries for callers may use up.
+  double callers_part = 0.5;
 };
 
 class FleetRetryBudget {
@@ -43,7 +55,7 @@
   void OnRepeat(const ServiceName& service, Instant now);
 
   // Takes one retry; false when the budget is spent.
-  bool TrySpend(const ServiceName& service, Instant now);
+  bool TrySpend(const ServiceName& service, RetryFor whom, Instant now);
 
  private:
   static constexpr std::size_t kSlices = 20;
--- a/src/execution/fleet_retry_budget.cc
+++ b/src/execution/fleet_retry_budget.cc
@@ -28,7 +28,9 @@
   ++this->SliceAt(this->windows[service], now).retries;
 }
 
-bool FleetRetryBudget::TrySpend(const ServiceName& service, Instant now) {
+bool FleetRetryBudget::TrySpend(const ServiceName& service,
+                                RetryFor whom,
+                                Instant now) {
   Window& window = this->windows[service];
   Slice& newest = this->SliceAt(window, now);
   const std::int64_t oldest =
@@ -44,8 +46,10 @@
   const double extra =
       this->config.extra /
       static_cast<double>(std::max<std::size_t>(1, this->live_nodes));
-  const double budget =
-      (1.0 - this->config.reserve) * (this->config.ratio * requests + extra);
+  const double part =
+      whom == RetryFor::kCaller ? this->config.callers_part : 1.0;
+  const double budget = part * (1.0 - this->config.reserve) *
+                        (this->config.ratio * requests + extra);
   if (retries + 1 > budget) {
     return false;
   }
--- a/src/sidecar/config_host.cc
+++ b/src/sidecar/config_host.cc
@@ -20,7 +20,9 @@
 // After a failure of the store other nodes may be cut from it for as long: the
 // platform's outages last some seconds.
 constexpr std::chrono::seconds kTellPeersFor{15};
-constexpr milliseconds kPeerTimeout{800};
+// A peer's link may be as slow, and several may ask it at once: a question that
+// is given up too soon is asked again, and its answer has been sent in vain.
+constexpr milliseconds kPeerTimeout{3000};
 // Of questions to peers, one in so many goes to another zone: the own one may
 // be cut off as a whole.
 constexpr int kQuestionsPerFar = 3;
--- a/src/sidecar/mesh_entry.cc
+++ b/src/sidecar/mesh_entry.cc
@@ -29,6 +29,11 @@
 // A node that stops ends its last calls and is started again in about a second.
 constexpr milliseconds kNextStart{500};
 
+// From a start to the first configuration: 0.1 s with a small one, 1.4 s with
+// 3,000 routes over a link of 7 Mbit/s. Callers wait a third of their time at
+// most and have one return or two.
+constexpr milliseconds kUntilReady{600};
+
 Instant Now() {
   return std::chrono::steady_clock::now();
 }
@@ -108,7 +113,7 @@
   }
   if (!this->mesh) {
     return this->platform.ToCaller(
-        {Outcome::kNotRun, Reason::kNodeNotReady, milliseconds(200)});
+        {Outcome::kNotRun, Reason::kNodeNotReady, kUntilReady});
   }
   if (this->refusing_callers && caller->parent_id.empty()) {
     return this->platform.ToCaller(
@@ -284,8 +289,10 @@
   if (!reached) {
     return call.offers < static_cast<int>(kMostOffers);
   }
+  const RetryFor whom =
+      call.parent_id.empty() ? RetryFor::kCaller : RetryFor::kRunningRequest;
   if (call.attempts >= call.route->max_attempts ||
-      !this->retries.TrySpend({call.message.service_name}, Now())) {
+      !this->retries.TrySpend({call.message.service_name}, whom, Now())) {
     return false;
   }
   ++call.attempts;
