Storms of versions cost one read a second, not two

Once more was written than read, only the newest of the key is read, once in 600 ms, until there are no news; then records again. A record that was offered before is not parsed again.

A longer pause: the bound is 2 s, and on a link of 7 Mbit/s a version takes 0.8 s of it. Fewer nodes that read, with peers telling the others: not tried, it makes a zone depend on its readers.

--- a/include/tanagerledge/config_follower.h
+++ b/include/tanagerledge/config_follower.h
@@ -41,13 +41,6 @@
     std::variant<ReadNewestConfig, ReadConfigRecords, AskPeerForConfig>;
 using FollowActions = std::vector<FollowAction>;
 
-// What a read of records brought.
-struct ConfigRecordsRead {
-  LogOffset next;            // One past what was read.
-  LogOffset end;             // One past the last record of the stream.
-  bool held_config = false;  // Whether a configuration was among it.
-};
-
 struct ConfigFollowerConfig {
   // How long the store holds a read without news. A connection that went silent
   // is noticed after this; a store call is priced, so it is not shorter.
@@ -82,7 +75,8 @@
 
   // How a read ended.
   void OnNewest(LogOffset end, Instant now);
-  void OnRecords(const ConfigRecordsRead& read, Instant now);
+  // `next` is one past what was read, `end` one past the last record there is.
+  void OnRecords(LogOffset next, LogOffset end, Instant now);
   void OnStoreError(LogErrorKind kind, Instant now);
 
   // How a question ended, and what a peer said that it has in force.
@@ -105,9 +99,9 @@
   ConfigFollowerConfig config;
   std::optional<std::uint64_t> in_force;
   std::optional<Instant> started;
-  // The next read skips records, on the guess that the last one of the stream
-  // is a configuration, which replaces all before it.
-  bool skipping = false;
+  // Versions come faster than they are read one by one: only the newest is
+  // read, now and then, until there are no news.
+  bool falling_behind = false;
   std::optional<LogOffset> next;  // Where to read on; newest first without it.
   bool reading = false;
   bool asking = false;
--- a/src/distribution/config_follower.cc
+++ b/src/distribution/config_follower.cc
@@ -8,7 +8,7 @@
   FollowActions out;
   if (!this->reading && now >= this->next_read) {
     this->reading = true;
-    if (this->next) {
+    if (this->next && !this->falling_behind) {
       // A store that just failed is asked for what it has: an answer at once
       // tells that it is back, and what was missed.
       const auto wait =
@@ -40,32 +40,24 @@
 
 void ConfigFollower::OnNewest(LogOffset end, Instant now) {
   this->OnStoreAnswered();
+  this->falling_behind = this->falling_behind && this->next != end;
   this->next = end;
-  this->next_read = now;
+  this->next_read = this->falling_behind ? now + this->config.gather : now;
   // Before the operator's first write there is nothing to read on from but the
   // end, and nothing to serve.
 }
 
-void ConfigFollower::OnRecords(const ConfigRecordsRead& read, Instant now) {
+void ConfigFollower::OnRecords(LogOffset from, LogOffset end, Instant now) {
   this->OnStoreAnswered();
-  const bool news = this->next != read.next;
-  const bool guessed_wrong = this->skipping && !read.held_config;
-  this->skipping = false;
-  this->next_read = now;
-  if (guessed_wrong) {
-    this->next.reset();
-  } else if (read.end.value > read.next.value) {
-    this->next = LogOffset{read.end.value - 1};
-    this->skipping = true;
-  } else {
-    this->next = read.next;
-    this->next_read = news ? now + this->config.gather : now;
-  }
+  const bool news = this->next != from;
+  this->next = from;
+  this->falling_behind = end.value > from.value;
+  this->next_read =
+      news && !this->falling_behind ? now + this->config.gather : now;
 }
 
 void ConfigFollower::OnStoreError(LogErrorKind kind, Instant now) {
   this->reading = false;
-  this->skipping = false;
   if (kind == LogErrorKind::kExpired || kind == LogErrorKind::kRefused) {
     // The records are gone, but the newest of a key is kept for good.
     this->next.reset();
--- a/src/sidecar/config_host.cc
+++ b/src/sidecar/config_host.cc
@@ -80,7 +80,7 @@
   }
   std::ranges::for_each(page->records, [this](const KeyedRecord& record) {
     if (record.key == this->platform.ConfigKey()) {
-      this->Offer(record.value, "store");
+      this->OfferRecord(record);
     }
   });
   this->follower.OnNewest(page->end, Now());
@@ -99,24 +99,28 @@
     this->store_was_answering = true;
     this->events.Write("store answers again", {});
   }
-  ConfigRecordsRead read;
-  read.next = action.from;
-  read.end = page->end;
+  LogOffset next = action.from;
   if (!page->records.empty()) {
     const LogRecord& record = page->records.front();
-    read.next = LogOffset{record.offset.value + 1};
+    next = LogOffset{record.offset.value + 1};
     const auto keyed = this->store.DecodeKeyed(record);
-    if (!keyed) {
-      this->events.Write("store record unreadable", {{"error", keyed.error()}});
-    }
-    read.held_config = keyed && keyed->key == this->platform.ConfigKey();
     // One that was replaced meanwhile is read past: reading it takes a node of
     // a tenth of a core 0.1 s and more.
-    if (read.held_config && read.end.value <= read.next.value) {
-      this->Offer(keyed->value, "store");
+    const bool replaced = page->end.value > next.value;
+    if (!keyed) {
+      this->events.Write("store record unreadable", {{"error", keyed.error()}});
+    } else if (keyed->key == this->platform.ConfigKey() && !replaced) {
+      this->OfferRecord(*keyed);
     }
   }
-  this->follower.OnRecords(read, Now());
+  this->follower.OnRecords(next, page->end, Now());
+}
+
+void ConfigHost::OfferRecord(const KeyedRecord& record) {
+  if (this->offered != record.offset) {
+    this->offered = record.offset;
+    this->Offer(record.value, "store");
+  }
 }
 
 void ConfigHost::OnStoreError(const LogError& error) {
--- a/src/sidecar/config_host.h
+++ b/src/sidecar/config_host.h
@@ -52,6 +52,8 @@
   void Do(const ReadConfigRecords& action);
   void Do(const AskPeerForConfig& action);
   void OnStoreError(const LogError& error);
+  // A record of the store, unless it is the one that was offered last.
+  void OfferRecord(const KeyedRecord& record);
   // Puts a configuration in force if it is newer; whether it is in force now.
   bool Offer(std::string_view content, std::string_view source);
   void TellPeers(std::uint64_t version);
@@ -71,6 +73,7 @@
   std::vector<NodeId> near;  // Other nodes of the own zone.
   std::vector<NodeId> far;
   int peer_questions = 0;
+  std::optional<LogOffset> offered;  // The last record of the store.
   std::optional<NodeId> newer_peer;  // Said to have a newer version.
   bool store_was_answering = true;
   // Until then, what comes into force is told to the other nodes: the store may
