A soak of real nodes: processes and links under random faults, judged from outside

Nodes run as processes; callers, back ends and the store are in the soak's own process. Faults overlap: SIGKILL, SIGTERM, SIGSTOP, SIGHUP, a store that is down, silent, slow or loses answers, links to the store and to the back end that are delayed, silenced, cut one way or reset, back ends that crash, refuse and lose answers, new configurations.

Links between nodes go direct: a node's address is also its name, so a proxy there needs a setting that does not exist yet.

--- /dev/null
+++ b/soak/back_end.h
@@ -0,0 +1,78 @@
+// A back end of the platform as the soak sees it: runs requests, writes down
+// which, and announces itself to its node.
+
+#ifndef TANAGERLEDGE_SOAK_BACK_END_H_
+#define TANAGERLEDGE_SOAK_BACK_END_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "soak/proxy.h"
+#include "src/adapters/http_message.h"
+#include "src/adapters/http_server.h"
+
+namespace tanagerledge::soak {
+
+// What was asked and what became of it, by attempt id. The judge of the soak.
+class Ledger {
+ public:
+  void Asked(const std::string& id, bool repeatable, const std::string& caller);
+  void Ran(const HttpRequest& request);
+  void Answered(const std::string& id, const HttpResponse& answer);
+
+  // Each broken promise, in a line.
+  std::vector<std::string> Faults() const;
+  int served() const { return this->served_count; }
+  int asked() const { return static_cast<int>(this->attempts.size()); }
+
+ private:
+  struct Attempt {
+    bool repeatable = false;
+    std::string caller;
+    int runs = 0;
+    int status = 0;  // Of the answer; 0 when none came.
+  };
+
+  std::map<std::string, Attempt> attempts;
+  std::vector<std::string> faults;
+  int served_count = 0;
+};
+
+class BackEnd {
+ public:
+  BackEnd(IoLoop& loop,
+          Ledger& ledger,
+          std::string service_name,
+          std::string node_admin_address,
+          std::uint64_t seed);
+
+  // A crash and a new start at the same address, under another name.
+  void StartAnew();
+  void SetMoody(bool next) { this->moody = next; }
+  Proxy& link() { return *this->proxy; }
+  void Close();
+
+ private:
+  std::optional<HttpResponse> Answer(const HttpRequest& request);
+  void Beat();
+  bool Draw(double chance);
+
+  IoLoop& loop;
+  Ledger& ledger;
+  const std::string service;
+  const std::string admin_address;
+  std::mt19937_64 random;
+  HttpServer server;
+  std::unique_ptr<Proxy> proxy;
+  std::string instance;
+  int starts = 0;
+  int beats = 0;
+  bool moody = false;  // Refuses some requests and loses some answers.
+  bool closed = false;
+};
+
+}  // namespace tanagerledge::soak
+
+#endif  // TANAGERLEDGE_SOAK_BACK_END_H_
--- /dev/null
+++ b/soak/proxy.cc
@@ -0,0 +1,124 @@
+#include "soak/proxy.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace tanagerledge::soak {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kDelay{60};
+// Held bytes look this often whether they may go on.
+constexpr milliseconds kHoldStep{20};
+
+}  // namespace
+
+Proxy::Proxy(IoLoop& io_loop, std::string server)
+    : loop(io_loop),
+      server_address(std::move(server)),
+      acceptor(Listen(io_loop.context(), ParseAddress("127.0.0.1:0").value())
+                   .value()) {
+  this->own_address = FormatAddress(this->acceptor.local_endpoint());
+  this->loop.Spawn([this] { this->Accept(); });
+}
+
+void Proxy::Accept() {
+  while (!this->closed) {
+    const auto link = std::make_shared<Link>(this->loop.context());
+    const error_code error = AwaitError([&](auto done) {
+      this->acceptor.async_accept(link->near, std::move(done));
+    });
+    if (error) {
+      return;
+    }
+    this->links.insert(link);
+    if (this->fault == LinkFault::kReset) {
+      Reset(*link);
+    }
+    this->loop.SpawnHere([this, link] { this->Serve(link); });
+  }
+}
+
+void Proxy::Serve(const LinkPtr& link) {
+  const auto server = ParseAddress(this->server_address).value();
+  const error_code error = AwaitError(
+      [&](auto done) { link->far.async_connect(server, std::move(done)); });
+  if (error) {
+    Reset(*link);
+    this->links.erase(link);
+    return;
+  }
+  this->loop.SpawnHere(
+      [this, link] { this->Pump(link, link->far, link->near, true); });
+  this->Pump(link, link->near, link->far, false);
+  this->links.erase(link);
+}
+
+void Proxy::Pump(const LinkPtr& link, Socket& from, Socket& to, bool to_node) {
+  constexpr std::size_t kChunk = 16 * 1024;
+  std::vector<char> chunk(kChunk);
+  while (true) {
+    const auto read = Await<std::size_t>([&](auto done) {
+      from.async_read_some(boost::asio::buffer(chunk), std::move(done));
+    });
+    const auto held = [&] {
+      return this->fault == LinkFault::kSilence ||
+             (this->fault == LinkFault::kOneWay && to_node);
+    };
+    while (held() && !this->closed) {
+      this->loop.SleepFor(kHoldStep);
+    }
+    if (this->fault == LinkFault::kDelay) {
+      this->loop.SleepFor(kDelay);
+    }
+    if (!read) {
+      // An end in order is passed on as such, anything else as a reset.
+      if (read.error != boost::asio::error::eof) {
+        Reset(*link);
+      }
+      error_code ignored;
+      to.shutdown(tcp::socket::shutdown_send, ignored);
+      return;
+    }
+    const auto written = Await<std::size_t>([&](auto done) {
+      boost::asio::async_write(
+          to, boost::asio::buffer(chunk.data(), read.value), std::move(done));
+    });
+    if (!written) {
+      Reset(*link);
+      return;
+    }
+  }
+}
+
+void Proxy::Reset(Link& link) {
+  const auto reset = [](Socket& socket) {
+    error_code ignored;
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+  };
+  reset(link.near);
+  reset(link.far);
+}
+
+void Proxy::Set(LinkFault next) {
+  this->fault = next;
+  if (next == LinkFault::kReset) {
+    std::ranges::for_each(this->links,
+                          [](const LinkPtr& link) { Reset(*link); });
+  }
+}
+
+void Proxy::Close() {
+  this->closed = true;
+  error_code ignored;
+  this->acceptor.close(ignored);
+  std::ranges::for_each(this->links, [](const LinkPtr& link) { Reset(*link); });
+}
+
+}  // namespace tanagerledge::soak
--- /dev/null
+++ b/soak/soak.cc
@@ -0,0 +1,392 @@
+#include "soak/soak.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <vector>
+
+#include "fakes/log_store.h"
+#include "platform/store_client.h"
+#include "soak/back_end.h"
+#include "soak/node_process.h"
+#include "src/adapters/http_client.h"
+
+namespace tanagerledge::soak {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kCallTimeout{2500};
+constexpr milliseconds kCallPause{20};  // Between the calls of one caller.
+constexpr milliseconds kReapStep{20};
+constexpr milliseconds kStoreWrite{2000};
+// Membership needs 2.5 s to forgive a node, the store's list is read each
+// second, and the platform allows 15 s for a recovery.
+constexpr seconds kRecovery{15};
+constexpr seconds kGrace{6};
+// Of the calls after the recovery, so many are served.
+constexpr double kServedAfter = 0.9;
+constexpr int kOk = 200;
+
+// A node, the back end beside it and its caller.
+struct Place {
+  std::string service;
+  std::string front;
+  std::unique_ptr<Proxy> to_store;
+  std::unique_ptr<BackEnd> back_end;
+  std::unique_ptr<NodeProcess> process;
+  bool stopping = false;  // SIGTERM was sent; the end is to be in order.
+  Instant stop_until{};
+};
+
+class Soak {
+ public:
+  explicit Soak(SoakOptions soak_options)
+      : options(std::move(soak_options)),
+        random(this->options.seed),
+        store(this->loop) {}
+
+  // Whether every promise held.
+  bool Run() {
+    bool held = false;
+    this->loop.Spawn([this, &held] {
+      held = this->RunWhole();
+      this->loop.Stop();
+    });
+    this->loop.Run();
+    return held;
+  }
+
+ private:
+  bool RunWhole() {
+    this->store_address =
+        "127.0.0.1:" + std::to_string(this->store.Listen(0).value());
+    this->Configure();
+    for (int i = 0; i < this->options.nodes; ++i) {
+      this->AddPlace(i);
+    }
+    std::ranges::for_each(this->places, [this](const auto& place) {
+      this->loop.Spawn([this, &place] { this->KeepRunning(*place); });
+      this->loop.Spawn([this, &place] { this->CallOn(*place); });
+    });
+    this->loop.SleepFor(seconds(2));
+    this->MakeTrouble(Clock() + this->options.length);
+    this->loop.SleepFor(kRecovery);
+    this->CheckRecovered();
+    this->ending = true;
+    this->StopAll();
+    return this->Judge();
+  }
+
+  // Below the ports that the system gives to outgoing connections: one of those
+  // may be taken while its node is down. Soaks of other seeds side by side get
+  // others.
+  std::string NextAddress() {
+    constexpr int kFirstPort = 10'000;
+    constexpr int kPortsOfASeed = 400;
+    constexpr int kSeedsApart = 50;
+    const int first =
+        kFirstPort +
+        static_cast<int>(this->options.seed % kSeedsApart) * kPortsOfASeed;
+    return "127.0.0.1:" + std::to_string(first + this->ports_given++);
+  }
+
+  static Instant Clock() { return std::chrono::steady_clock::now(); }
+
+  // Set-up --------------------------------------------------------------------
+
+  void Configure() {
+    const auto route = [](const char* service, const char* kind) {
+      return json{{"host", std::string(service) + ".example"},
+                  {"path_prefix", "/x/"},
+                  {"kind", kind},
+                  {"timeout_ms", 2000},
+                  {"priority", 1},
+                  {"target_latency_ms", 300},
+                  {"service", service},
+                  {"max_attempts", 3}};
+    };
+    const json config = {{"version", ++this->version},
+                         {"routes",
+                          {{"archive", route("archive", "idempotent")},
+                           {"claims", route("claims", "non_idempotent")}}},
+                         {"services",
+                          {{"archive", {{"health_path", "/health"}}},
+                           {"claims", {{"health_path", "/health"}}}}},
+                         {"limits", json::object()}};
+    const auto client = platform::ConnectStore(this->loop, this->store_address);
+    // A change that a fault of the store loses is as good a case as another.
+    static_cast<void>(
+        client->Put("keyed.op", "config", config.dump(), kStoreWrite));
+    client->Close();
+  }
+
+  void AddPlace(int number) {
+    auto place = std::make_unique<Place>();
+    place->service = number % 2 == 0 ? "archive" : "claims";
+    place->front = this->NextAddress();
+    place->to_store = std::make_unique<Proxy>(this->loop, this->store_address);
+    const std::string admin = this->NextAddress();
+    place->back_end = std::make_unique<BackEnd>(
+        this->loop, this->ledger, place->service, admin, this->random());
+    const std::string path =
+        this->options.directory + "/node-" + std::to_string(number) + ".ini";
+    std::ofstream(path) << "[node]\nsource = platform\nfleet = soak\naddress = "
+                        << this->NextAddress() << "\nzone = z" << number % 3
+                        << "\n[front]\naddress = " << place->front
+                        << "\n[admin]\naddress = " << admin
+                        << "\n[readiness]\naddress = " << this->NextAddress()
+                        << "\n[back_end]\nservice = " << place->service
+                        << "\n[log]\naddress = " << place->to_store->address()
+                        << "\n[membership]\nheartbeat_period = 300ms\n"
+                        << "[bounds]\na = drain_ms=2000\nb = grace_s=6\n"
+                        << "c = retry_budget_ratio=0.2\n"
+                        << "d = budget_extra_retries=60\n"
+                        << "e = budget_window_s=10\n";
+    place->process = std::make_unique<NodeProcess>(this->options.program, path);
+    this->places.push_back(std::move(place));
+  }
+
+  // Starts the node whenever it is down, and looks how it ended.
+  void KeepRunning(Place& place) {
+    while (!this->ending) {
+      if (!place.process->running()) {
+        place.stopping = false;
+        if (!place.process->Start()) {
+          this->faults.push_back("the node can't be started");
+          return;
+        }
+      }
+      this->loop.SleepFor(kReapStep);
+      if (const auto code = place.process->Reap();
+          code && !place.process->running()) {
+        this->CheckEnd(place, *code);
+        this->loop.SleepFor(milliseconds(this->Between(100, 800)));
+      }
+      if (place.stopping && Clock() > place.stop_until) {
+        this->faults.push_back("a node outlived its grace time");
+        place.stop_until += std::chrono::hours(1);  // Told once.
+      }
+    }
+  }
+
+  void CheckEnd(const Place& place, int code) {
+    const bool killed = code == -SIGKILL;
+    if (!killed && (code != 0 || !place.stopping)) {
+      this->faults.push_back("a node of " + place.service + " ended with " +
+                             std::to_string(code));
+    }
+  }
+
+  // Callers -------------------------------------------------------------------
+
+  // Keeps its connection until the node is gone, as the platform's clients do.
+  void CallOn(const Place& place) {
+    HttpClient client(this->loop, ParseAddress(place.front).value());
+    while (!this->ending) {
+      const bool repeatable = this->Between(0, 1) == 0;
+      const std::string id = "a" + std::to_string(++this->last_id);
+      HttpRequest request;
+      request.method = "POST";
+      request.target = "/x/" + id;
+      request.body = id;
+      request.headers = {
+          {"Host", repeatable ? "archive.example" : "claims.example"},
+          {"X-Attempt-Id", id},
+          {"X-Deadline-Ms", "1500"}};
+      this->ledger.Asked(id, repeatable, place.service);
+      const auto answer = client.Send(request, kCallTimeout);
+      if (answer) {
+        this->ledger.Answered(id, *answer);
+      }
+      this->loop.SleepFor(kCallPause);
+    }
+    client.Close();
+  }
+
+  // Faults --------------------------------------------------------------------
+
+  int Between(int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(this->random);
+  }
+
+  // A fault after the other, each in a fiber of its own, so that they overlap.
+  void MakeTrouble(Instant until) {
+    using Fault = void (Soak::*)(Place&, milliseconds);
+    static const std::vector<Fault> kFaults = {
+        &Soak::Kill,         &Soak::Stop,
+        &Soak::Pause,        &Soak::Reload,
+        &Soak::HurtStore,    &Soak::HurtStoreLink,
+        &Soak::CrashBackEnd, &Soak::HurtBackEndLink,
+        &Soak::MakeMoody,    &Soak::ChangeConfig};
+    while (Clock() < until) {
+      const Fault fault =
+          kFaults[this->Between(0, static_cast<int>(kFaults.size()) - 1)];
+      Place& place = *this->places[this->Between(0, this->options.nodes - 1)];
+      const milliseconds length(this->Between(100, 2500));
+      ++this->under_way;
+      this->loop.SpawnHere([this, fault, &place, length] {
+        (this->*fault)(place, length);
+        --this->under_way;
+      });
+      this->loop.SleepFor(milliseconds(this->Between(50, 500)));
+    }
+    while (this->under_way > 0) {
+      this->loop.SleepFor(kReapStep);
+    }
+  }
+
+  void Kill(Place& place, milliseconds) { place.process->Signal(SIGKILL); }
+
+  void Stop(Place& place, milliseconds) {
+    if (place.process->running() && !place.stopping) {
+      place.stopping = true;
+      place.stop_until = Clock() + kGrace;
+      place.process->Signal(SIGTERM);
+    }
+  }
+
+  void Pause(Place& place, milliseconds length) {
+    place.process->Signal(SIGSTOP);
+    this->loop.SleepFor(length);
+    place.process->Signal(SIGCONT);
+    place.stop_until += length;  // A paused node can't end.
+  }
+
+  void Reload(Place& place, milliseconds) { place.process->Signal(SIGHUP); }
+
+  void HurtStore(Place&, milliseconds length) {
+    LogFaults some;
+    switch (this->Between(0, 3)) {
+      case 0:
+        some.down = true;
+        break;
+      case 1:
+        some.silent = true;
+        break;
+      case 2:
+        some.slow = milliseconds(this->Between(50, 600));
+        break;
+      default:
+        some.lose_answers = this->Between(1, 5);
+    }
+    this->store.SetFaults(some);
+    this->loop.SleepFor(length);
+    this->store.SetFaults({});
+  }
+
+  LinkFault AnyLinkFault() {
+    return static_cast<LinkFault>(
+        this->Between(static_cast<int>(LinkFault::kDelay),
+                      static_cast<int>(LinkFault::kReset)));
+  }
+
+  void Hurt(Proxy& link, milliseconds length) {
+    link.Set(this->AnyLinkFault());
+    this->loop.SleepFor(length);
+    link.Set(LinkFault::kNone);
+  }
+
+  void HurtStoreLink(Place& place, milliseconds length) {
+    this->Hurt(*place.to_store, length);
+  }
+
+  void HurtBackEndLink(Place& place, milliseconds length) {
+    this->Hurt(place.back_end->link(), length);
+  }
+
+  void CrashBackEnd(Place& place, milliseconds) {
+    place.back_end->link().Set(LinkFault::kReset);
+    place.back_end->StartAnew();
+    place.back_end->link().Set(LinkFault::kNone);
+  }
+
+  void MakeMoody(Place& place, milliseconds length) {
+    place.back_end->SetMoody(true);
+    this->loop.SleepFor(length);
+    place.back_end->SetMoody(false);
+  }
+
+  void ChangeConfig(Place&, milliseconds) { this->Configure(); }
+
+  // Judgement -----------------------------------------------------------------
+
+  void CheckRecovered() {
+    const int asked = this->ledger.asked();
+    const int served = this->ledger.served();
+    this->loop.SleepFor(seconds(2));
+    const int asked_since = this->ledger.asked() - asked;
+    const int served_since = this->ledger.served() - served;
+    if (served_since < kServedAfter * asked_since) {
+      this->faults.push_back("after the faults " +
+                             std::to_string(served_since) + " of " +
+                             std::to_string(asked_since) + " were served");
+    }
+  }
+
+  void StopAll() {
+    std::ranges::for_each(this->places, [](const auto& place) {
+      place->process->Signal(SIGTERM);
+    });
+    const Instant until = Clock() + kGrace;
+    while (Clock() < until && this->AnyRuns()) {
+      this->loop.SleepFor(kReapStep);
+    }
+    if (this->AnyRuns()) {
+      this->faults.push_back("a node outlived its grace time at the end");
+    }
+    std::ranges::for_each(this->places, [](const auto& place) {
+      place->process->Signal(SIGKILL);
+      place->back_end->Close();
+      place->to_store->Close();
+    });
+    this->store.Close();
+  }
+
+  bool AnyRuns() {
+    return std::ranges::any_of(this->places, [](const auto& place) {
+      static_cast<void>(place->process->Reap());
+      return place->process->running();
+    });
+  }
+
+  bool Judge() {
+    std::ranges::copy(this->ledger.Faults(), std::back_inserter(this->faults));
+    std::ranges::for_each(this->faults, [](const std::string& fault) {
+      std::cout << "broken: " << fault << "\n";
+    });
+    std::cout << "seed " << this->options.seed << ": " << this->ledger.asked()
+              << " asked, " << this->ledger.served() << " served, "
+              << this->faults.size() << " broken" << std::endl;
+    return this->faults.empty();
+  }
+
+  const SoakOptions options;
+  std::mt19937_64 random;
+  IoLoop loop;
+  LogStore store;
+  std::string store_address;
+  Ledger ledger;
+  std::vector<std::unique_ptr<Place>> places;
+  std::vector<std::string> faults;
+  int version = 0;
+  int ports_given = 0;
+  std::uint64_t last_id = 0;
+  int under_way = 0;
+  bool ending = false;
+};
+
+}  // namespace
+
+bool RunSoak(const SoakOptions& options) {
+  return Soak(options).Run();
+}
+
+}  // namespace tanagerledge::soak
--- /dev/null
+++ b/soak/soak.h
@@ -0,0 +1,32 @@
+// A randomized soak of real nodes on loopback: callers, back ends and the store
+// are in this process, faults come from outside the nodes. Checks from what
+// callers and back ends see that nothing runs twice that must not, that a
+// refusal is true, that answers belong to their requests, that a node ends in
+// order and in time, and that the mesh serves again once the faults end.
+//
+// The same seed draws the same faults; when they meet a call differs from run
+// to run, as real processes do.
+
+#ifndef TANAGERLEDGE_SOAK_SOAK_H_
+#define TANAGERLEDGE_SOAK_SOAK_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace tanagerledge::soak {
+
+struct SoakOptions {
+  std::string program;    // The node's.
+  std::string directory;  // Exists; settings and logs of the nodes go there.
+  std::uint64_t seed = 1;
+  std::chrono::seconds length{10};  // Of the faults.
+  int nodes = 6;
+};
+
+// Prints each broken promise and a summary; true when all were kept.
+bool RunSoak(const SoakOptions& options);
+
+}  // namespace tanagerledge::soak
+
+#endif  // TANAGERLEDGE_SOAK_SOAK_H_
