A node ends although a connection opens in its last moment

Its loop ends only when all fibers have, and PeerTransport closes the connections that it knows: one whose fiber was spawned in the same turn, or that was just being accepted, was opened after that and read on for ever. HttpServer had the same gap for a connection just accepted, up to its idle time.

Calls under way: the line says none. Power or pauses: the node was running, and nothing in its log is late.

A connection's fiber looks whether the transport is closed before it connects or reads; the HTTP server drops what it accepts after its end.

PeerTransportTest.ClosedBeforeAConnectionBegins: one connection before, none now.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -127,6 +127,9 @@
         this->loop.SleepFor(std::chrono::milliseconds(error ? 10 : 0));
         continue;
       }
+      if (this->closed) {
+        return;  // It was accepted while the server closed.
+      }
       auto connection = std::make_shared<Connection>(std::move(socket));
       this->connections.insert(connection);
       this->loop.SpawnHere([this, connection] { this->Serve(connection); });
@@ -152,6 +155,7 @@
 }
 
 void HttpServer::Close() {
+  this->closed = true;
   this->Drain();
   for (const auto& connection : this->connections) {
     connection->Close();
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -95,6 +95,7 @@
   std::set<std::shared_ptr<Connection>> connections;
   bool draining = false;
   bool closing = false;
+  bool closed = false;
 };
 
 }  // namespace tanagerledge
--- a/src/adapters/peer_transport.cc
+++ b/src/adapters/peer_transport.cc
@@ -128,7 +128,10 @@
 
   // Runs the connection in the calling fiber until it ends.
   void Run() {
-    if (this->connected_already || this->Connect()) {
+    // The transport may have been closed since this fiber was spawned, or while
+    // the connection was being accepted.
+    if (!this->transport.closed &&
+        (this->connected_already || this->Connect())) {
       this->established = true;
       this->heard = std::chrono::steady_clock::now();
       this->SendHello();
--- a/tests/adapters/peer_transport_test.cc
+++ b/tests/adapters/peer_transport_test.cc
@@ -67,6 +67,17 @@
   Side server;
 };
 
+// Soak seed 86: a node that had stopped did not end, since a connection opened
+// in the last moment was never closed and its fiber read on.
+TEST_F(PeerTransportTest, ClosedBeforeAConnectionBegins_NoneIsOpened) {
+  this->Run([&](const NodeId& to) {
+    this->client.transport->Connect(to);
+    this->client.transport->Close();
+    this->loop.SleepFor(milliseconds(100));
+    EXPECT_EQ(this->client.counters.connects.load(), 0U);
+  });
+}
+
 TEST_F(PeerTransportTest, Request_IsAnsweredWithTheSendersName) {
   this->Run([this](const NodeId& to) {
     const auto reply = this->Ask(to, "hello", milliseconds(2000));
