--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -17,7 +17,7 @@
 // Weight of one report in the mean load of a service.
 constexpr double kMeanWeight = 1.0 / 32;
 // Places that are drawn in the own zone and in the others. With all places
-// considered, the busiest back end of the grown sprinklo got 3.1 to 4.7 times
+// considered, the busiest back end of a fleet of 60 got 3.1 to 4.7 times
 // the mean.
 constexpr std::size_t kDrawn = 3;
 // How work times spread: the risk that a call misses its target is
