--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -88,8 +88,8 @@
   }
 
   // Below the ports that the system gives to outgoing connections: one of those
-  // may be taken while its node is down. Soaks of other seeds side by side get
-  // others.
+  // may be taken while its node is down. Soaks side by side get others, unless
+  // their seeds are a multiple of 50 apart.
   std::string NextAddress() {
     constexpr int kFirstPort = 10'000;
     constexpr int kPortsOfASeed = 400;
