Soak: a seed draws the same faults each time, as its header says

Cause, found by reading: faults, callers, restarts and back ends drew from one generator, so that the faults of a seed depended on how many calls fell between them. A kept seed that failed could not bring its faults back.

Faults have a generator of their own. Fleets are named by their seed, so that two soaks on the same ports fail to start rather than join.

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -14,6 +14,7 @@
 #include "platform/store_client.h"
 #include "soak/back_end.h"
 #include "soak/node_process.h"
+#include "src/adapters/clock.h"
 #include "src/adapters/http_client.h"
 
 namespace tanagerledge::soak {
@@ -36,6 +37,10 @@
 constexpr double kServedAfter = 0.9;
 constexpr int kOk = 200;
 
+int Draw(std::mt19937_64& random, int least, int most) {
+  return std::uniform_int_distribution<int>(least, most)(random);
+}
+
 // A node, the back end beside it and its caller.
 struct Place {
   std::string service;
@@ -52,7 +57,8 @@
  public:
   explicit Soak(SoakOptions soak_options)
       : options(std::move(soak_options)),
-        random(this->options.seed),
+        fault_random(this->options.seed),
+        other_random(this->options.seed),
         store(this->loop) {}
 
   // Whether every promise held.
@@ -79,7 +85,7 @@
       this->loop.Spawn([this, &place] { this->CallOn(*place); });
     });
     this->loop.SleepFor(seconds(2));
-    this->MakeTrouble(Clock() + this->options.length);
+    this->MakeTrouble(Now() + this->options.length);
     this->loop.SleepFor(kRecovery);
     this->CheckRecovered();
     this->ending = true;
@@ -100,8 +106,6 @@
     return "127.0.0.1:" + std::to_string(first + this->ports_given++);
   }
 
-  static Instant Clock() { return std::chrono::steady_clock::now(); }
-
   // Set-up --------------------------------------------------------------------
 
   void Configure() {
@@ -137,12 +141,13 @@
     place->to_store = std::make_unique<Proxy>(this->loop, this->store_address);
     const std::string admin = this->NextAddress();
     place->back_end = std::make_unique<BackEnd>(
-        this->loop, this->ledger, place->service, admin, this->random());
+        this->loop, this->ledger, place->service, admin, this->other_random());
     const std::string path =
         this->options.directory + "/node-" + std::to_string(number) + ".ini";
-    std::ofstream(path) << "[node]\nsource = platform\nfleet = soak\naddress = "
-                        << this->NextAddress() << "\nzone = z" << number % 3
-                        << "\n[front]\naddress = " << place->front
+    std::ofstream(path) << "[node]\nsource = platform\nfleet = soak-"
+                        << this->options.seed
+                        << "\naddress = " << this->NextAddress() << "\nzone = z"
+                        << number % 3 << "\n[front]\naddress = " << place->front
                         << "\n[admin]\naddress = " << admin
                         << "\n[readiness]\naddress = " << this->NextAddress()
                         << "\n[back_end]\nservice = " << place->service
@@ -161,7 +166,7 @@
     while (!this->ending) {
       if (!place.process->running()) {
         place.stopping = false;
-        place.started = Clock();
+        place.started = Now();
         if (!place.process->Start()) {
           this->faults.push_back("the node can't be started");
           return;
@@ -171,9 +176,9 @@
       if (const auto code = place.process->Reap();
           code && !place.process->running()) {
         this->CheckEnd(place, *code);
-        this->loop.SleepFor(milliseconds(this->Between(100, 800)));
+        this->loop.SleepFor(milliseconds(Draw(this->other_random, 100, 800)));
       }
-      if (place.stopping && Clock() > place.stop_until) {
+      if (place.stopping && Now() > place.stop_until) {
         this->faults.push_back("a node outlived its grace time");
         place.stop_until += std::chrono::hours(1);  // Told once.
       }
@@ -194,7 +199,7 @@
   void CallOn(const Place& place) {
     HttpClient client(this->loop, ParseAddress(place.front).value());
     while (!this->ending) {
-      const bool repeatable = this->Between(0, 1) == 0;
+      const bool repeatable = Draw(this->other_random, 0, 1) == 0;
       const std::string id = "a" + std::to_string(++this->last_id);
       HttpRequest request;
       request.method = "POST";
@@ -216,8 +221,9 @@
 
   // Faults --------------------------------------------------------------------
 
+  // Draws for the faults, in their order.
   int Between(int least, int most) {
-    return std::uniform_int_distribution<int>(least, most)(this->random);
+    return Draw(this->fault_random, least, most);
   }
 
   // A fault after the other, each in a fiber of its own, so that they overlap.
@@ -229,7 +235,7 @@
         &Soak::HurtStore,    &Soak::HurtStoreLink,
         &Soak::CrashBackEnd, &Soak::HurtBackEndLink,
         &Soak::MakeMoody,    &Soak::ChangeConfig};
-    while (Clock() < until) {
+    while (Now() < until) {
       const Fault fault =
           kFaults[this->Between(0, static_cast<int>(kFaults.size()) - 1)];
       Place& place = *this->places[this->Between(0, this->options.nodes - 1)];
@@ -251,7 +257,7 @@
   void Stop(Place& place, milliseconds) {
     if (place.process->running() && !place.stopping) {
       place.stopping = true;
-      place.stop_until = Clock() + kGrace;
+      place.stop_until = Now() + kGrace;
       place.process->Signal(SIGTERM);
     }
   }
@@ -266,7 +272,7 @@
   // A program that is still being loaded can't have a handler yet. With seeds
   // 40 and 45 a node ended so before its first log line.
   void Reload(Place& place, milliseconds) {
-    if (Clock() - place.started >= kLoading) {
+    if (Now() - place.started >= kLoading) {
       place.process->Signal(SIGHUP);
     }
   }
@@ -344,8 +350,8 @@
     std::ranges::for_each(this->places, [](const auto& place) {
       place->process->Signal(SIGTERM);
     });
-    const Instant until = Clock() + kGrace;
-    while (Clock() < until && this->AnyRuns()) {
+    const Instant until = Now() + kGrace;
+    while (Now() < until && this->AnyRuns()) {
       this->loop.SleepFor(kReapStep);
     }
     if (this->AnyRuns()) {
@@ -378,7 +384,10 @@
   }
 
   const SoakOptions options;
-  std::mt19937_64 random;
+  // Apart, so that the faults of a seed do not depend on how many calls and
+  // restarts fell between them.
+  std::mt19937_64 fault_random;
+  std::mt19937_64 other_random;
   IoLoop loop;
   LogStore store;
   std::string store_address;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -4,8 +4,8 @@
 // refusal is true, that answers belong to their requests, that a node ends in
 // order and in time, and that the mesh serves again once the faults end.
 //
-// The same seed draws the same faults; when they meet a call differs from run
-// to run, as real processes do.
+// The same seed draws the same faults at the same times; which calls they meet
+// differs from run to run, as real processes do.
 
 #ifndef TANAGERLEDGE_SOAK_SOAK_H_
 #define TANAGERLEDGE_SOAK_SOAK_H_
