--- a/include/tanagerledge/placement.h
+++ b/include/tanagerledge/placement.h
@@ -41,7 +41,7 @@
 class Placement {
  public:
   // `seed` differs between nodes, so that they draw different places.
-  Placement(NodeId self, Zone own_zone, std::uint64_t seed);
+  Placement(Zone own_zone, std::uint64_t seed);
 
   // Every endpoint known, of all services; those gone or draining are left out.
   void SetEndpoints(const std::vector<Endpoint>& endpoints);
@@ -77,6 +77,12 @@
     double busy = 0;  // Calls there, running or waiting, for each slot.
     std::chrono::microseconds work{0};
   };
+  // One choice: what is asked, and how loaded the service is as a whole.
+  struct Choice {
+    const PlacementAsk& ask;
+    ServiceLoad usual;
+    Instant now{};
+  };
   // The best place found so far.
   struct Best {
     const Place* place = nullptr;
@@ -92,23 +98,20 @@
     bool connected = true;
   };
 
+  // `extra` is what every one of the places costs more.
   void Draw(const Places& places,
             double extra,
-            const PlacementAsk& ask,
-            Instant now,
+            const Choice& choice,
             Best& best);
   void Consider(const Place& place,
                 double extra,
-                const PlacementAsk& ask,
-                Instant now,
+                const Choice& choice,
                 Best& best) const;
-  double Cost(const Place& place, const PlacementAsk& ask, Instant now) const;
-  std::chrono::microseconds ExpectedTime(const Place& place,
-                                         const Evidence& evidence,
-                                         const PlacementAsk& ask,
-                                         Instant now) const;
+  double Cost(const Place& place, const Choice& choice) const;
+  static std::chrono::microseconds ExpectedTime(const Place& place,
+                                                const Evidence& evidence,
+                                                const Choice& choice);
 
-  NodeId self;
   Zone zone;
   std::minstd_rand random;
   std::unordered_map<ServiceName, ServicePlaces> by_service;
--- a/include/tanagerledge/slot_queue.h
+++ b/include/tanagerledge/slot_queue.h
@@ -122,7 +122,9 @@
   // Expected ends of the slots, the earliest first.
   class SlotEnds;
 
-  std::chrono::microseconds Estimate(const std::string& work) const;
+  // What is known of such work, or else of any.
+  const TimeEstimate& EstimateOf(const std::string& work) const;
+  std::chrono::microseconds MeanOf(const std::string& work) const;
   bool IsInTime(const SlotRequest& request, Instant start, Instant now) const;
   void Learn(const std::string& work, std::chrono::microseconds took);
   void NoteInflow(const Order& order,
@@ -130,8 +132,6 @@
                   Instant now);
   double ShareTakenAhead(const OrderClass& order_class, Instant now) const;
   SlotEnds EndsOfRunning(Instant now) const;
-  // When what runs and waits ahead now leaves room.
-  Instant PredictRoom(const Order& order, Instant now) const;
   Instant WithInflowAhead(Instant start,
                           const OrderClass& order_class,
                           Instant now) const;
--- a/include/tanagerledge/types.h
+++ b/include/tanagerledge/types.h
@@ -22,6 +22,13 @@
 // Calendar time, comparable between machines only up to their clock error.
 using WallTime = std::chrono::system_clock::time_point;
 
+// A part or multiple of a time, without its fraction of a microsecond.
+inline std::chrono::microseconds Scaled(std::chrono::microseconds time,
+                                        double by) {
+  return std::chrono::microseconds(static_cast<std::chrono::microseconds::rep>(
+      static_cast<double>(time.count()) * by));
+}
+
 // Names ---------------------------------------------------------------------
 
 template <typename Tag>
--- a/src/adapters/event_log.cc
+++ b/src/adapters/event_log.cc
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/adapters/clock.h"
+
 namespace tanagerledge {
 
 EventLog::EventLog(std::string node_name, EventLogConfig log_config)
@@ -19,7 +21,7 @@
 }
 
 bool EventLog::TakeRoom() {
-  const Instant now = std::chrono::steady_clock::now();
+  const Instant now = Now();
   if (now - this->second_began >= std::chrono::seconds(1)) {
     this->second_began = now;
     this->lines_in_second = 0;
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -1,7 +1,5 @@
 #include "src/adapters/http_client.h"
 
-#include <netinet/tcp.h>
-
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -15,6 +13,8 @@
 #include <iterator>
 #include <optional>
 
+#include "src/adapters/clock.h"
+
 namespace tanagerledge {
 
 namespace beast = boost::beast;
@@ -23,10 +23,6 @@
 
 namespace {
 
-template <int name>
-using IntOption =
-    boost::asio::detail::socket_option::integer<IPPROTO_TCP, name>;
-
 // A silent server is noticed after about 3 s.
 constexpr int kProbeAfterSeconds = 1;
 constexpr int kProbesLost = 2;
@@ -134,7 +130,7 @@
     const HttpRequest& request,
     std::chrono::milliseconds timeout,
     const ExchangeOptions& exchange) {
-  const Instant deadline = std::chrono::steady_clock::now() + timeout;
+  const Instant deadline = Now() + timeout;
   auto connection = this->Take(deadline);
   if (!connection) {
     return tl::unexpected(connection.error());
@@ -161,7 +157,7 @@
                     this->idle.size() < this->options.max_idle_connections;
   if (keep) {
     connection->stream.expires_never();
-    connection->idle_since = std::chrono::steady_clock::now();
+    connection->idle_since = Now();
     this->idle.push_back(std::move(connection));
   }
 }
@@ -171,8 +167,7 @@
   while (!this->idle.empty()) {
     ConnectionPtr connection = std::move(this->idle.back());
     this->idle.pop_back();
-    const auto waited =
-        std::chrono::steady_clock::now() - connection->idle_since;
+    const auto waited = Now() - connection->idle_since;
     if (waited < connection->idle_time && connection->StillStands()) {
       return connection;
     }
@@ -187,10 +182,8 @@
   }
   auto connection = std::make_unique<Connection>(this->loop.context());
   this->busy.insert(connection.get());
-  ++this->connections_made;
-  connection->stream.expires_at(std::min(
-      deadline,
-      std::chrono::steady_clock::now() + this->options.connect_timeout));
+  connection->stream.expires_at(
+      std::min(deadline, Now() + this->options.connect_timeout));
   const auto error = AwaitError([&](auto handler) {
     connection->stream.async_connect(this->server, std::move(handler));
   });
@@ -203,15 +196,11 @@
   tcp::socket& socket = connection->stream.socket();
   socket.set_option(tcp::no_delay(true), ignored);
   if (this->options.probe_silence) {
-    using Idle = IntOption<TCP_KEEPIDLE>;
-    using Interval = IntOption<TCP_KEEPINTVL>;
-    using Count = IntOption<TCP_KEEPCNT>;
-    using UserTimeout = IntOption<TCP_USER_TIMEOUT>;
     socket.set_option(tcp::socket::keep_alive(true), ignored);
-    socket.set_option(Idle(kProbeAfterSeconds), ignored);
-    socket.set_option(Interval(kProbeAfterSeconds), ignored);
-    socket.set_option(Count(kProbesLost), ignored);
-    socket.set_option(UserTimeout(kSilenceMs), ignored);
+    socket.set_option(TcpOption<TCP_KEEPIDLE>(kProbeAfterSeconds), ignored);
+    socket.set_option(TcpOption<TCP_KEEPINTVL>(kProbeAfterSeconds), ignored);
+    socket.set_option(TcpOption<TCP_KEEPCNT>(kProbesLost), ignored);
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(kSilenceMs), ignored);
   }
   return connection;
 }
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -75,8 +75,6 @@
   // Ends requests in flight; every later one fails as not sent.
   void Close();
 
-  std::uint64_t connects() const { return this->connections_made; }
-
  private:
   struct Connection;
   using ConnectionPtr = std::unique_ptr<Connection>;
@@ -99,7 +97,6 @@
   std::vector<ConnectionPtr> idle;
   std::set<Connection*> busy;
   bool closed = false;
-  std::uint64_t connections_made = 0;
 };
 
 }  // namespace tanagerledge
--- a/src/adapters/net.cc
+++ b/src/adapters/net.cc
@@ -44,6 +44,10 @@
   return tcp::endpoint(ip, port);
 }
 
+tcp::endpoint CheckedAddress(const std::string& text) {
+  return ParseAddress(text).value();
+}
+
 std::string FormatAddress(const tcp::endpoint& endpoint) {
   const std::string host = endpoint.address().to_string();
   const std::string port = std::to_string(endpoint.port());
--- a/src/adapters/net.h
+++ b/src/adapters/net.h
@@ -3,6 +3,8 @@
 #ifndef TANAGERLEDGE_SRC_ADAPTERS_NET_H_
 #define TANAGERLEDGE_SRC_ADAPTERS_NET_H_
 
+#include <netinet/tcp.h>
+
 #include <utility>  // Asio 1.74 needs it first under C++20.
 
 #include <boost/asio/ip/tcp.hpp>
@@ -20,8 +22,17 @@
 tl::expected<boost::asio::ip::tcp::endpoint, AddressError> ParseAddress(
     std::string_view text);
 
+// For addresses out of settings, which have been checked: one that fails here
+// is a broken invariant.
+boost::asio::ip::tcp::endpoint CheckedAddress(const std::string& text);
+
 std::string FormatAddress(const boost::asio::ip::tcp::endpoint& endpoint);
 
+// A TCP option with a whole number, such as TCP_USER_TIMEOUT.
+template <int name>
+using TcpOption =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, name>;
+
 // Opens, binds and listens with SO_REUSEPORT, so that each worker thread has an
 // acceptor of its own on one address. The error is the system's text.
 tl::expected<boost::asio::ip::tcp::acceptor, AddressError> Listen(
--- a/src/adapters/peer_transport.cc
+++ b/src/adapters/peer_transport.cc
@@ -1,7 +1,5 @@
 #include "src/adapters/peer_transport.h"
 
-#include <netinet/tcp.h>
-
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -12,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
 #include "src/adapters/fiber_sync.h"
 #include "src/generated/peer_types.h"
@@ -90,9 +89,6 @@
   return ParseState::kFrame;
 }
 
-using UserTimeout =
-    boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-
 using ReplySlot = FiberSlot<tl::expected<std::string, PeerError>>;
 
 // A request that waits; it lives on the stack of the fiber that sent it.
@@ -133,7 +129,7 @@
     if (!this->transport.closed &&
         (this->connected_already || this->Connect())) {
       this->established = true;
-      this->heard = std::chrono::steady_clock::now();
+      this->heard = Now();
       this->SendHello();
       this->Flush();
       this->ReadFrames();
@@ -172,7 +168,7 @@
     }
     const std::uint64_t id = ++this->last_id;
     if (this->pending.empty()) {
-      this->quiet_since = std::chrono::steady_clock::now();
+      this->quiet_since = Now();
     }
     Pending waiting;
     this->pending.emplace(id, &waiting);
@@ -250,7 +246,8 @@
   void SendHello() {
     error_code ignored;
     this->socket.set_option(tcp::no_delay(true), ignored);
-    this->socket.set_option(UserTimeout(kUserTimeoutMs), ignored);
+    this->socket.set_option(TcpOption<TCP_USER_TIMEOUT>(kUserTimeoutMs),
+                            ignored);
     const PeerIdentity& identity = this->transport.identity;
     wire::Hello hello;
     hello.fleet = identity.fleet;
@@ -330,7 +327,7 @@
       if (!read) {
         return;
       }
-      this->heard = std::chrono::steady_clock::now();
+      this->heard = Now();
       buffer.append(chunk.data(), read.value);
       if (!this->TakeFrames(buffer)) {
         ++this->transport.counters.bad_frames;
@@ -529,7 +526,7 @@
 void PeerTransport::WatchLinks(LinkWatch watch) {
   this->loop.Spawn([this, watch] {
     while (!this->closed && this->loop.SleepFor(watch.tick)) {
-      const Instant now = std::chrono::steady_clock::now();
+      const Instant now = Now();
       std::ranges::for_each(this->outgoing, [&](const auto& entry) {
         entry.second->CheckAlive(watch, now);
       });
@@ -593,7 +590,7 @@
     return tl::unexpected(
         PeerError{PeerErrorKind::kNotSent, "closed or oversize"});
   }
-  const Instant deadline = std::chrono::steady_clock::now() + timeout;
+  const Instant deadline = Now() + timeout;
   const std::shared_ptr<PeerConnection> connection = this->ConnectionTo(to);
   return connection->Request(channel, request, deadline);
 }
--- a/src/admission/slot_queue.cc
+++ b/src/admission/slot_queue.cc
@@ -36,11 +36,6 @@
 // No estimate is below this, so that a promised return is never immediate.
 constexpr microseconds kLeastWait{10'000};
 
-microseconds Scaled(microseconds time, double by) {
-  return microseconds(
-      static_cast<microseconds::rep>(static_cast<double>(time.count()) * by));
-}
-
 // What is left of a quantity that fades over time.
 double Faded(Instant::duration age, microseconds fade) {
   const double ratio =
@@ -86,21 +81,12 @@
   std::ranges::transform(
       this->started, std::back_inserter(ends), [&](const auto& entry) {
         const Running& call = entry.second;
-        const microseconds work = this->Estimate(call.work);
+        const microseconds work = this->MeanOf(call.work);
         return std::max(call.since + work, now + Scaled(work, kOverrunShare));
       });
   return {std::move(ends), static_cast<std::size_t>(this->slots), now};
 }
 
-Instant SlotQueue::PredictRoom(const Order& order, Instant now) const {
-  SlotEnds ends = this->EndsOfRunning(now);
-  const auto first_behind = this->queue.lower_bound(order);
-  std::for_each(this->queue.begin(), first_behind, [&](const auto& entry) {
-    ends.Take(this->Estimate(entry.second.work));
-  });
-  return ends.Earliest();
-}
-
 // While calls that go first come in for a share of the slots, only the rest of
 // them works off what waits.
 Instant SlotQueue::WithInflowAhead(Instant start,
@@ -139,11 +125,14 @@
 
 // Estimates -------------------------------------------------------------------
 
-microseconds SlotQueue::Estimate(const std::string& work) const {
+const TimeEstimate& SlotQueue::EstimateOf(const std::string& work) const {
   const auto found = this->estimates.find(work);
-  const TimeEstimate& estimate =
-      found == this->estimates.end() ? this->overall : found->second;
-  return std::chrono::duration_cast<microseconds>(estimate.mean());
+  return found == this->estimates.end() ? this->overall : found->second;
+}
+
+microseconds SlotQueue::MeanOf(const std::string& work) const {
+  return std::chrono::duration_cast<microseconds>(
+      this->EstimateOf(work).mean());
 }
 
 // Whether a call that starts then is likely to meet its target. The margin
@@ -153,9 +142,7 @@
 bool SlotQueue::IsInTime(const SlotRequest& request,
                          Instant start,
                          Instant now) const {
-  const auto found = this->estimates.find(request.work);
-  const TimeEstimate& estimate =
-      found == this->estimates.end() ? this->overall : found->second;
+  const TimeEstimate& estimate = this->EstimateOf(request.work);
   const Seconds room = request.target - now - estimate.mean();
   const Seconds margin =
       std::min(kSafeDeviations * estimate.deviation(), kMostMargin * room);
@@ -181,12 +168,24 @@
   order.order_class = {!request.nested, request.priority, false};
   order.newcomer = !request.returning;
   order.arrival = ++this->arrivals;
-  const microseconds work = this->Estimate(request.work);
-  Instant room = this->PredictRoom(order, now);
+  const microseconds work = this->MeanOf(request.work);
+  // Walks once over what waits ahead: a late call stands behind the place that
+  // it would have had in time.
+  SlotEnds ends = this->EndsOfRunning(now);
+  auto ahead = this->queue.begin();
+  const auto room_behind_those_before = [&] {
+    const auto place = this->queue.lower_bound(order);
+    std::for_each(ahead, place, [&](const auto& entry) {
+      ends.Take(this->MeanOf(entry.second.work));
+    });
+    ahead = place;
+    return ends.Earliest();
+  };
+  Instant room = room_behind_those_before();
   Instant start = this->WithInflowAhead(room, order.order_class, now);
   if (!this->IsInTime(request, start, now)) {
     order.order_class.late = true;
-    room = this->PredictRoom(order, now);
+    room = room_behind_those_before();
     start = this->WithInflowAhead(room, order.order_class, now);
   }
   if (this->slots == 0 || start + work > request.deadline) {
@@ -255,7 +254,7 @@
   std::vector<std::pair<Order, SlotRequest>> moved;
   std::erase_if(this->queue, [&](const auto& entry) {
     const auto& [order, request] = entry;
-    const microseconds work = this->Estimate(request.work);
+    const microseconds work = this->MeanOf(request.work);
     const Instant end =
         this->WithInflowAhead(ends.Earliest(), order.order_class, now) + work;
     if (end > request.deadline) {
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/net.h"
 #include "src/load/key_check.h"
 #include "src/node/call_headers.h"
@@ -24,10 +25,6 @@
 constexpr std::int64_t kMaxReleaseNumber = std::int64_t{1} << 62;
 constexpr int kServerError = 500;
 
-Instant Now() {
-  return std::chrono::steady_clock::now();
-}
-
 }  // namespace
 
 microseconds KindReport::Percentile(double percent) const {
--- a/src/node/admin.cc
+++ b/src/node/admin.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <variant>
 
+#include "src/adapters/clock.h"
 #include "src/node/call_messages.h"
 #include "src/node/node.h"
 
@@ -161,8 +162,7 @@
 HttpResponse Admin::Status(const HttpRequest& /*request*/) {
   const ReleaseStatus status = this->node.releases->Status();
   const LoadReport load = this->node.executor.Report();
-  const auto back_end =
-      this->node.back_end.Current(std::chrono::steady_clock::now());
+  const auto back_end = this->node.back_end.Current(Now());
   json page = {{"node", this->node.settings.address.value},
                {"fleet", this->node.settings.fleet},
                {"zone", this->node.settings.zone.value},
--- a/src/node/entry.cc
+++ b/src/node/entry.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
 #include "src/node/call_headers.h"
 #include "src/node/call_messages.h"
@@ -24,10 +25,6 @@
 // A reply needs time to come back after the call's own deadline was judged.
 constexpr milliseconds kReplyMargin{50};
 
-Instant Now() {
-  return std::chrono::steady_clock::now();
-}
-
 wire::CallReply NotRun(Reason reason, std::string detail) {
   return MakeReply(Outcome::kNotRun, reason, std::move(detail));
 }
--- a/src/node/executor.cc
+++ b/src/node/executor.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
 #include "src/node/call_headers.h"
 #include "src/node/call_messages.h"
@@ -20,10 +21,6 @@
 constexpr std::chrono::seconds kLossMemory{5};
 constexpr std::int64_t kLongestCallUs = 600'000'000;
 
-Instant Now() {
-  return std::chrono::steady_clock::now();
-}
-
 std::string UnixMicroseconds(Instant at) {
   const WallTime wall =
       std::chrono::system_clock::now() +
--- a/src/node/membership_host.cc
+++ b/src/node/membership_host.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <variant>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
 
 namespace tanagerledge {
@@ -18,10 +19,6 @@
 constexpr milliseconds kSyncTimeout{3000};
 constexpr milliseconds kReachTimeout{1000};
 
-Instant Now() {
-  return std::chrono::steady_clock::now();
-}
-
 MembershipPurpose PurposeOf(wire::DatagramKind::type kind) {
   switch (kind) {
     case wire::DatagramKind::GOSSIP:
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -4,6 +4,7 @@
 #include <thread>
 #include <utility>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
 #include "src/adapters/fiber_sync.h"
 #include "src/adapters/logging.h"
@@ -26,21 +27,6 @@
 constexpr std::size_t kAuditKept = 1024;
 constexpr std::size_t kMaxAdminBody = 64 * 1024;
 
-Instant Now() {
-  return std::chrono::steady_clock::now();
-}
-
-Incarnation NewIncarnation() {
-  const auto since = std::chrono::system_clock::now().time_since_epoch();
-  return Incarnation{static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(since).count())};
-}
-
-// Settings have been checked: an address that fails here is a broken invariant.
-boost::asio::ip::tcp::endpoint CheckedAddress(const std::string& text) {
-  return ParseAddress(text).value();
-}
-
 OnceConfig OnceConfigOf(const PeerIdentity& identity) {
   OnceConfig config;
   config.self = identity.node;
--- a/src/node/once_host.cc
+++ b/src/node/once_host.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
 #include "src/execution/rendezvous.h"
 
@@ -23,8 +24,8 @@
 // Far enough down the order to meet other zones.
 constexpr std::size_t kRanked = 64;
 
-OnceTime Now() {
-  return {std::chrono::steady_clock::now(), std::chrono::system_clock::now()};
+OnceTime BothClocks() {
+  return {Now(), std::chrono::system_clock::now()};
 }
 
 std::string StreamOf(int partition) {
@@ -129,8 +130,8 @@
     return;
   }
   const auto number = static_cast<std::size_t>(message.partition);
-  this->partitions[number].OnMessage(from, message, Now());
-  this->gate.OnMessage(from, message, Now());
+  this->partitions[number].OnMessage(from, message, BothClocks());
+  this->gate.OnMessage(from, message, BothClocks());
 }
 
 void OnceHost::Deliver(const SendOnce& send) {
@@ -158,7 +159,7 @@
   this->control.Spawn([this, call, id = IdOf(key), fingerprint, deadline,
                        mint = MintTimeOf(key.value)] {
     const std::uint64_t number =
-        this->gate.Begin(id, mint, fingerprint, deadline, Now());
+        this->gate.Begin(id, mint, fingerprint, deadline, BothClocks());
     this->pending[number] = call;
     this->Pump();
   });
@@ -173,7 +174,7 @@
 
 void OnceHost::Finish(const OnceTicket& ticket, OnceResult result) {
   this->control.Spawn([this, ticket, result = std::move(result)] {
-    this->gate.Finish(ticket.attempt.number, result, Now());
+    this->gate.Finish(ticket.attempt.number, result, BothClocks());
     this->Pump();
   });
 }
@@ -189,17 +190,17 @@
     call->verdict.set_value(decided.verdict);
   } else if (std::holds_alternative<OnceTicket>(decided.verdict)) {
     const OnceResult never{Outcome::kNotRun, Reason::kDeadline, {}, false};
-    this->gate.Finish(decided.number, never, Now());
+    this->gate.Finish(decided.number, never, BothClocks());
   }
 }
 
 // Control thread ------------------------------------------------------------
 
 void OnceHost::Tick() {
-  this->gate.OnTick(Now());
+  this->gate.OnTick(BothClocks());
   for (OncePartition& partition : this->partitions) {
     if (partition.IsNeeded()) {
-      partition.OnTick(Now());
+      partition.OnTick(BothClocks());
     }
   }
   this->Pump();
@@ -261,7 +262,7 @@
   const std::uint64_t read_to = page->records.empty()
                                     ? from.value
                                     : page->records.back().offset.value + 1;
-  partition.OnRecords(page->records, read_to >= page->end.value, Now());
+  partition.OnRecords(page->records, read_to >= page->end.value, BothClocks());
   this->Pump();
 }
 
--- a/src/node/release_host.cc
+++ b/src/node/release_host.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
 
 namespace tanagerledge {
@@ -25,7 +26,7 @@
       log(log_port),
       config(std::move(host_config)),
       sink(std::move(state_sink)),
-      machine(this->config.distribution, std::chrono::steady_clock::now()) {}
+      machine(this->config.distribution, Now()) {}
 
 void ReleaseHost::Start() {
   this->loop.Spawn([this] { this->TickForEver(); });
@@ -47,7 +48,7 @@
 
 // Members change in bursts, and each view of them costs a sort.
 void ReleaseHost::ShowMembers() {
-  const Instant now = std::chrono::steady_clock::now();
+  const Instant now = Now();
   if (!this->members_changed ||
       now - this->members_shown < this->config.members_pause) {
     return;
@@ -100,8 +101,7 @@
 }
 
 void ReleaseHost::FeedOne(const DistributionEvent& event) {
-  const Distribution::Actions actions =
-      this->machine.OnEvent(event, std::chrono::steady_clock::now());
+  const Distribution::Actions actions = this->machine.OnEvent(event, Now());
   for (const DistributionAction& action : actions) {
     std::visit([this](const auto& one) { this->Do(one); }, action);
   }
--- a/src/node/suspect_host.cc
+++ b/src/node/suspect_host.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "execution_types.h"
+#include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
 #include "src/adapters/fiber_sync.h"
 #include "src/execution/rendezvous.h"
@@ -26,10 +27,6 @@
 // More than any node asks for.
 constexpr int kQuarantineDeaths = 1000;
 
-Instant Now() {
-  return std::chrono::steady_clock::now();
-}
-
 microseconds TimeLeft(Instant deadline) {
   const auto left = std::chrono::duration_cast<microseconds>(deadline - Now());
   return std::clamp<microseconds>(left, microseconds(0), kLongestLease);
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -46,16 +46,10 @@
 // Taken for the time of work at a node that has not reported yet.
 constexpr microseconds kUnknownWork{1'000};
 
-microseconds Scaled(microseconds time, double by) {
-  return microseconds(
-      static_cast<microseconds::rep>(static_cast<double>(time.count()) * by));
-}
-
 }  // namespace
 
-Placement::Placement(NodeId own_node, Zone own_zone, std::uint64_t seed)
-    : self(std::move(own_node)),
-      zone(std::move(own_zone)),
+Placement::Placement(Zone own_zone, std::uint64_t seed)
+    : zone(std::move(own_zone)),
       random(static_cast<std::minstd_rand::result_type>(seed)) {}
 
 void Placement::SetEndpoints(const std::vector<Endpoint>& endpoints) {
@@ -79,15 +73,18 @@
   const double crossing =
       std::clamp(kZoneCostPerKb * static_cast<double>(ask.bytes) / kBytesInKb,
                  kLeastZoneCost, kMostZoneCost);
+  const auto load = this->loads.find(ask.service);
+  const Choice choice{
+      ask, load == this->loads.end() ? ServiceLoad{} : load->second, now};
   const ServicePlaces& places = found->second;
   Best best;
-  this->Draw(places.near, 0.0, ask, now, best);
-  this->Draw(places.far, crossing, ask, now, best);
+  this->Draw(places.near, 0.0, choice, best);
+  this->Draw(places.far, crossing, choice, best);
   if (best.place == nullptr || best.cost >= kUnreachableCost) {
     // Bad luck with the draw, or few are left: look at all.
     const auto consider = [&](double extra) {
       return [&, extra](const Place& place) {
-        this->Consider(place, extra, ask, now, best);
+        this->Consider(place, extra, choice, best);
       };
     };
     std::ranges::for_each(places.near, consider(0.0));
@@ -98,47 +95,44 @@
 
 void Placement::Draw(const Places& places,
                      double extra,
-                     const PlacementAsk& ask,
-                     Instant now,
+                     const Choice& choice,
                      Best& best) {
   if (places.size() <= kDrawn) {
     std::ranges::for_each(places, [&](const Place& place) {
-      this->Consider(place, extra, ask, now, best);
+      this->Consider(place, extra, choice, best);
     });
     return;
   }
   std::uniform_int_distribution<std::size_t> any(0, places.size() - 1);
   for (std::size_t drawn = 0; drawn < kDrawn; ++drawn) {
-    this->Consider(places[any(this->random)], extra, ask, now, best);
+    this->Consider(places[any(this->random)], extra, choice, best);
   }
 }
 
 void Placement::Consider(const Place& place,
                          double extra,
-                         const PlacementAsk& ask,
-                         Instant now,
+                         const Choice& choice,
                          Best& best) const {
-  if (std::ranges::find(ask.tried, place.node) != ask.tried.end()) {
+  if (std::ranges::find(choice.ask.tried, place.node) !=
+      choice.ask.tried.end()) {
     return;
   }
-  const double cost = this->Cost(place, ask, now) + extra;
+  const double cost = this->Cost(place, choice) + extra;
   if (best.place == nullptr || cost < best.cost) {
     best = {&place, cost};
   }
 }
 
 // What is lost by placing the call there, where a missed target is 1.
-double Placement::Cost(const Place& place,
-                       const PlacementAsk& ask,
-                       Instant now) const {
+double Placement::Cost(const Place& place, const Choice& choice) const {
   static const Evidence kNothing;
   const auto found = this->seen.find(place.node);
   const Evidence& evidence =
       found == this->seen.end() ? kNothing : found->second;
-  const microseconds target = std::max<microseconds>(ask.target, kLeastTarget);
+  const microseconds target =
+      std::max<microseconds>(choice.ask.target, kLeastTarget);
   const double expected =
-      static_cast<double>(
-          this->ExpectedTime(place, evidence, ask, now).count()) /
+      static_cast<double>(ExpectedTime(place, evidence, choice).count()) /
       static_cast<double>(target.count());
   const double risk =
       1.0 / (1.0 + std::pow(kMedianOfMean * expected, -kSteepness));
@@ -146,7 +140,7 @@
       risk + kLateCost * std::max(0.0, expected - 1.0) + kTimeCost * expected;
   cost += kFailureCost * evidence.load.failing_permille / 1000.0;
   const bool reachable =
-      evidence.connected && now >= evidence.unreachable_until;
+      evidence.connected && choice.now >= evidence.unreachable_until;
   cost += reachable ? 0.0 : kUnreachableCost;
   return cost;
 }
@@ -155,11 +149,8 @@
 // this node knows.
 microseconds Placement::ExpectedTime(const Place& place,
                                      const Evidence& evidence,
-                                     const PlacementAsk& ask,
-                                     Instant now) const {
-  const auto known = this->loads.find(ask.service);
-  const ServiceLoad mean =
-      known == this->loads.end() ? ServiceLoad{} : known->second;
+                                     const Choice& choice) {
+  const ServiceLoad& mean = choice.usual;
   const int slots =
       std::max(1, evidence.load.limit > 0 ? evidence.load.limit : place.slots);
   const microseconds usual = std::max(kUnknownWork, mean.work);
@@ -169,7 +160,7 @@
   const auto half_life =
       std::max<microseconds>(kLeastHalfLife, kHalfLifeInCalls * mean.work);
   const double age = static_cast<double>(
-      duration_cast<microseconds>(now - evidence.reported).count());
+      duration_cast<microseconds>(choice.now - evidence.reported).count());
   const double say = std::exp2(-age / static_cast<double>(half_life.count()));
   const double others =
       std::max(0, evidence.load.running + evidence.load.queued -
@@ -183,7 +174,7 @@
   const double slowness =
       static_cast<double>(here.count()) / static_cast<double>(usual.count());
   const microseconds work =
-      ask.work.count() > 0 ? Scaled(ask.work, slowness) : here;
+      choice.ask.work.count() > 0 ? Scaled(choice.ask.work, slowness) : here;
   return work + Scaled(here, waiting / slots + filling);
 }
 
--- a/src/sidecar/config_host.cc
+++ b/src/sidecar/config_host.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
 #include "src/distribution/compression.h"
 
@@ -28,10 +29,6 @@
 constexpr int kQuestionsPerFar = 3;
 constexpr std::size_t kMaxConfigBytes = 16 * 1024 * 1024;
 
-Instant Now() {
-  return std::chrono::steady_clock::now();
-}
-
 }  // namespace
 
 ConfigHost::ConfigHost(IoLoop& io_loop,
@@ -141,17 +138,24 @@
         static_cast<std::int64_t>(this->follower.version().value_or(0));
     const auto bytes = this->peers.Request(*peer, Channel::kConfig,
                                            Encode(question), kPeerTimeout);
-    const auto answer = bytes ? Decode<wire::ConfigAnswer>(*bytes)
-                              : tl::unexpected(DecodeError{});
-    if (answer && !answer->content.empty()) {
-      this->OnPeerContent(*peer, answer->content);
+    if (bytes) {
+      this->OnPeerAnswer(*peer, *bytes);
     }
   }
   this->follower.OnPeerAnswered(Now());
 }
 
-void ConfigHost::OnPeerContent(const NodeId& peer, const std::string& bytes) {
-  const auto unpacked = Unpack(bytes, kMaxConfigBytes);
+void ConfigHost::OnPeerAnswer(const NodeId& peer, std::string_view bytes) {
+  auto answer = Decode<wire::ConfigAnswer>(bytes);
+  if (!answer) {
+    this->events.Write("configuration unreadable",
+                       {{"from", peer.value}, {"error", answer.error().text}});
+    return;
+  }
+  if (answer->content.empty()) {
+    return;  // It has none that is newer.
+  }
+  const auto unpacked = Unpack(answer->content, kMaxConfigBytes);
   if (!unpacked) {
     this->events.Write(
         "configuration unreadable",
@@ -159,7 +163,7 @@
     return;
   }
   if (this->Offer(*unpacked, "peer")) {
-    this->packed = bytes;
+    this->packed = std::move(answer->content);
   }
 }
 
--- a/src/sidecar/config_host.h
+++ b/src/sidecar/config_host.h
@@ -58,7 +58,7 @@
   bool Offer(std::string_view content, std::string_view source);
   void TellPeers(std::uint64_t version);
   std::optional<NodeId> NextPeer();
-  void OnPeerContent(const NodeId& peer, const std::string& bytes);
+  void OnPeerAnswer(const NodeId& peer, std::string_view bytes);
 
   IoLoop& loop;
   PeerTransport& peers;
--- a/src/sidecar/mesh_entry.cc
+++ b/src/sidecar/mesh_entry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
 #include "src/node/call_messages.h"
 #include "tanagerledge/dependency_throttle.h"
@@ -21,7 +22,7 @@
 constexpr milliseconds kReplyMargin{60};
 // Nodes that turned a call away without running it, before the caller hears of
 // it: each costs a round trip, and the second best place is mostly full too.
-constexpr std::size_t kMostOffers = 3;
+constexpr int kMostOffers = 3;
 // A call that lost its link is asked for this long at most at a time.
 constexpr milliseconds kAskPause{20};
 constexpr int kMostAsks = 4;
@@ -33,10 +34,8 @@
 // 3,000 routes over a link of 7 Mbit/s. Callers wait a third of their time at
 // most and have one return or two.
 constexpr milliseconds kUntilReady{600};
-
-Instant Now() {
-  return std::chrono::steady_clock::now();
-}
+// News of a back end ride on probes and the store's list, gathered for as long.
+constexpr milliseconds kUntilEndpoint{100};
 
 // Numbers of a later start are greater: it began some ms later, and no node
 // sends 65,536 calls in a ms. Starts are told apart for 12 days.
@@ -88,9 +87,7 @@
       events(event_log),
       metrics(call_metrics),
       split(this->config.incarnation.value),
-      placement(this->config.self,
-                this->config.zone,
-                this->config.incarnation.value),
+      placement(this->config.zone, this->config.incarnation.value),
       retries(retry_config),
       last_send(FirstSendOf(this->config.incarnation)) {}
 
@@ -106,7 +103,7 @@
 
 std::optional<HttpResponse> MeshEntry::Handle(const HttpRequest& request,
                                               Departure& departure) {
-  const auto caller = this->platform.ReadCaller(request);
+  auto caller = this->platform.ReadCaller(request);
   if (!caller) {
     this->events.Write("bad request", {{"error", caller.error()}});
     return this->platform.ToCaller({Outcome::kNotRun, Reason::kBadRequest});
@@ -141,7 +138,7 @@
   message.customer = this->config.caller.value;
   message.method = request.method;
   message.target = request.target;
-  message.headers = caller->headers;
+  message.headers = std::move(caller->headers);
   message.body = request.body;
   message.idempotent = route.idempotent;
   message.attempt_id = caller->attempt_id;
@@ -233,7 +230,7 @@
   }
   wire::CallReply reply = MakeReply(Outcome::kNotRun, Reason::kNoEndpoint,
                                     "no endpoint of the service is known");
-  reply.room_in_us = microseconds(milliseconds(100)).count();
+  reply.room_in_us = microseconds(kUntilEndpoint).count();
   while (!call.left) {
     const Instant now = Now();
     PlacementAsk ask;
@@ -287,7 +284,7 @@
     return false;
   }
   if (!reached) {
-    return call.offers < static_cast<int>(kMostOffers);
+    return call.offers < kMostOffers;
   }
   const RetryFor whom =
       call.parent_id.empty() ? RetryFor::kCaller : RetryFor::kRunningRequest;
--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
 #include "src/node/call_messages.h"
 
@@ -33,10 +34,6 @@
 // calls' deadline, some 250 ms: sooner is of no use.
 constexpr milliseconds kDependencyPause{250};
 
-Instant Now() {
-  return std::chrono::steady_clock::now();
-}
-
 wire::CallReply NotRun(Reason reason,
                        std::string detail,
                        microseconds room_in = microseconds{0}) {
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
 #include "src/adapters/net.h"
 
@@ -40,17 +41,6 @@
 constexpr int kUnavailable = 503;
 constexpr std::string_view kMetricsType = "text/plain; version=0.0.4";
 
-Incarnation NewIncarnation() {
-  const auto since = std::chrono::system_clock::now().time_since_epoch();
-  return Incarnation{
-      static_cast<std::uint64_t>(duration_cast<milliseconds>(since).count())};
-}
-
-// Settings have been checked: an address that fails here is a broken invariant.
-boost::asio::ip::tcp::endpoint CheckedAddress(const std::string& text) {
-  return ParseAddress(text).value();
-}
-
 FleetRetryConfig RetryConfigOf(const FleetBounds& bounds) {
   FleetRetryConfig config;
   config.ratio = bounds.retry_ratio;
@@ -298,12 +288,12 @@
   this->Recall();
 }
 
+std::int64_t Sidecar::BytesSent(Channel channel) const {
+  return static_cast<std::int64_t>(
+      this->peer_counters.bytes_sent[static_cast<std::size_t>(channel)].load());
+}
+
 void Sidecar::LogTraffic() {
-  const auto sent = [this](Channel channel) {
-    return static_cast<std::int64_t>(
-        this->peer_counters.bytes_sent[static_cast<std::size_t>(channel)]
-            .load());
-  };
   std::int64_t datagrams_sent = 0;
   std::ranges::for_each(this->membership.counters().by_purpose,
                         [&](const MembershipTraffic& traffic) {
@@ -311,9 +301,9 @@
                               static_cast<std::int64_t>(traffic.sent_bytes);
                         });
   this->events.Write("traffic",
-                     {{"call_bytes", sent(Channel::kCall)},
-                      {"question_bytes", sent(Channel::kSend)},
-                      {"config_bytes", sent(Channel::kConfig)},
+                     {{"call_bytes", this->BytesSent(Channel::kCall)},
+                      {"question_bytes", this->BytesSent(Channel::kSend)},
+                      {"config_bytes", this->BytesSent(Channel::kConfig)},
                       {"membership_bytes", datagrams_sent},
                       {"connects", static_cast<std::int64_t>(
                                        this->peer_counters.connects.load())}});
@@ -324,7 +314,7 @@
 void Sidecar::OnNodeList(const NodeDirectory::Records& records) {
   std::vector<NodeId> seeds;
   this->hints.clear();
-  this->hints_until = std::chrono::steady_clock::now() + kHintLife;
+  this->hints_until = Now() + kHintLife;
   std::ranges::for_each(records, [&](const auto& listed) {
     const auto& [node, record] = listed;
     const bool ready =
@@ -389,7 +379,7 @@
       endpoints.push_back(*member.endpoint);
     }
   });
-  if (std::chrono::steady_clock::now() < this->hints_until) {
+  if (Now() < this->hints_until) {
     std::ranges::copy_if(this->hints, std::back_inserter(endpoints),
                          [this](const Endpoint& hint) {
                            const auto met = std::ranges::find(
@@ -417,7 +407,7 @@
       keep(member.node);
     }
   });
-  if (std::chrono::steady_clock::now() < this->hints_until) {
+  if (Now() < this->hints_until) {
     std::ranges::for_each(this->hints, keep, &Endpoint::node);
   }
 }
@@ -452,7 +442,7 @@
   endpoint.service = back_end->service;
   endpoint.slots = back_end->slots;
   endpoint.state = state;
-  endpoint.since = std::chrono::steady_clock::now();
+  endpoint.since = Now();
   this->membership.Announce(endpoint);
 }
 
@@ -522,11 +512,7 @@
   show("tanagerledge_peer_connects_total", "Connections opened to nodes.",
        [this] { return this->peer_counters.connects.load(); });
   show("tanagerledge_call_bytes_total", "Bytes of calls sent to nodes.",
-       [this] {
-         return this->peer_counters
-             .bytes_sent[static_cast<std::size_t>(Channel::kCall)]
-             .load();
-       });
+       [this] { return this->BytesSent(Channel::kCall); });
   show("tanagerledge_log_lines_dropped_total", "Log lines over the limit.",
        [this] { return this->events.dropped(); });
 }
@@ -552,7 +538,7 @@
 }
 
 void Sidecar::RunShutdown() {
-  const Instant began = std::chrono::steady_clock::now();
+  const Instant began = Now();
   const Instant until = began +
                         std::max(milliseconds(0), this->settings.bounds.grace) -
                         kGraceMargin;
@@ -565,7 +551,7 @@
   // The back end stays and its room is missed: calls of other nodes are taken
   // until this node's own callers are about to be gone.
   const auto sleep_until = [this, until](Instant at) {
-    this->loop.SleepFor(std::min(at, until) - std::chrono::steady_clock::now());
+    this->loop.SleepFor(std::min(at, until) - Now());
   };
   sleep_until(began + kServeOn);
   this->owner.OnNodeStopping();
@@ -576,7 +562,7 @@
   this->entry.RefuseCallers();
   this->front.CloseAfterAnswer();
   this->front.CloseIdle();
-  while (in_progress() > 0 && std::chrono::steady_clock::now() < until) {
+  while (in_progress() > 0 && Now() < until) {
     this->loop.SleepFor(kShutdownStep);
   }
   // What has been read is still answered; what comes now finds no listener.
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -64,6 +64,7 @@
   void Recall();
   void ShowEndpoints();
   void KeepConnections();
+  std::int64_t BytesSent(Channel channel) const;
   void LogTraffic();
   void OnMembers(const std::vector<Member>& members);
   void TellBackEnd();
--- a/tests/admission/slot_queue_replay_test.cc
+++ b/tests/admission/slot_queue_replay_test.cc
@@ -160,6 +160,11 @@
     return results;
   }
 
+  static std::vector<Kind> HistoriesAtTwiceTheSlots() {
+    return {{"history", 1, false, 145, milliseconds(90), milliseconds(300),
+             milliseconds(800), 0.82, 0.082, 2.0}};
+  }
+
   static double Total(const Results& results) {
     double earned = 0;
     double owed = 0;
@@ -202,9 +207,7 @@
 }
 
 TEST_F(SlotQueueReplayTest, OneKindAtTwiceTheSlots_UsefulWorkAndEarlyRefusals) {
-  const std::vector<Kind> kinds = {{"history", 1, false, 145, milliseconds(90),
-                                    milliseconds(300), milliseconds(800), 0.82,
-                                    0.082, 2.0}};
+  const auto kinds = HistoriesAtTwiceTheSlots();
   const auto load = Load(kinds);
   Results queue = ByQueue(load);
   Results arrival = ByArrival(load);
@@ -229,9 +232,7 @@
 // The target is the issue's: 99 in 100 refusals within an eighth of the kind's
 // target time, since a caller that is refused late can't come back in time.
 TEST_F(SlotQueueReplayTest, OneKindAtTwiceTheSlots_RefusedWithinAnEighth) {
-  const std::vector<Kind> kinds = {{"history", 1, false, 145, milliseconds(90),
-                                    milliseconds(300), milliseconds(800), 0.82,
-                                    0.082, 2.0}};
+  const auto kinds = HistoriesAtTwiceTheSlots();
   Results queue = ByQueue(Load(kinds));
   EXPECT_LE(queue["history"].RefusalP99(), milliseconds(300 / 8));
 }
--- a/tests/distribution/config_follower_test.cc
+++ b/tests/distribution/config_follower_test.cc
@@ -24,6 +24,13 @@
     return this->follower.Tick(this->now);
   }
 
+  // The newest was read, records 0 to 3, and the next one is waited for.
+  void FollowFromFour() {
+    this->Tick();
+    this->follower.OnNewest({4}, this->now);
+    this->Tick();
+  }
+
   ConfigFollower follower;
   Instant now = Instant{} + std::chrono::hours(1);
 };
@@ -62,9 +69,7 @@
 // Played on the grown beryn: with 3,000 routes a version has half a MB, and a
 // node with a link of 7 Mbit/s that read each one of a storm was 4 s behind.
 TEST_F(ConfigFollowerTest, MoreWrittenThanRead_ReadsOnlyTheNewest) {
-  this->Tick();
-  this->follower.OnNewest({4}, this->now);
-  this->Tick();
+  this->FollowFromFour();
   this->follower.OnRecords({5}, {9}, this->now);
   EXPECT_TRUE(Holds<ReadNewestConfig>(this->Tick()));
   // There were news: the storm may go on.
@@ -85,9 +90,7 @@
 }
 
 TEST_F(ConfigFollowerTest, NoNews_IsReadOnAtOnce) {
-  this->Tick();
-  this->follower.OnNewest({4}, this->now);
-  this->Tick();
+  this->FollowFromFour();
   this->follower.OnRecords({4}, {4}, this->now);
   EXPECT_TRUE(Holds<ReadConfigRecords>(this->Tick()));
 }
@@ -100,9 +103,7 @@
 }
 
 TEST_F(ConfigFollowerTest, HistoryGone_ReadsTheNewestAgainAtOnce) {
-  this->Tick();
-  this->follower.OnNewest({4}, this->now);
-  this->Tick();
+  this->FollowFromFour();
   this->follower.OnStoreError(LogErrorKind::kExpired, this->now);
   EXPECT_TRUE(Holds<ReadNewestConfig>(this->Tick()));
 }
@@ -130,9 +131,7 @@
 }
 
 TEST_F(ConfigFollowerTest, StoreFailedWhileFollowing_IsAskedWithoutWaiting) {
-  this->Tick();
-  this->follower.OnNewest({4}, this->now);
-  this->Tick();
+  this->FollowFromFour();
   this->follower.OnStoreError(LogErrorKind::kUnavailable, this->now);
   const FollowActions next = this->Tick(milliseconds(700));
   ASSERT_TRUE(Holds<ReadConfigRecords>(next));
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -48,7 +48,7 @@
     return node ? node->value : "";
   }
 
-  Placement placement{{"self"}, {"a"}, 1};
+  Placement placement{{"a"}, 1};
   Instant now = Instant{} + std::chrono::hours(1);
 };
 
@@ -129,7 +129,7 @@
   }
   std::map<std::string, int> sent;
   for (int node = 0; node < kNodes; ++node) {
-    this->placement = Placement({"self"}, {"a"}, 100 + node);
+    this->placement = Placement({"a"}, 100 + node);
     this->placement.SetEndpoints(endpoints);
     // All remember the first one as the quickest by far.
     for (int i = 0; i < kBackEnds; ++i) {
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -203,6 +203,15 @@
     return this->TrySend(entry.front_address, request);
   }
 
+  // A second node with the back end of claims; true once `entry` reaches it.
+  bool StartClaimsFor(const Settings& entry) {
+    const Settings& claims = this->Start("claims");
+    this->Configure(1);
+    this->Beat(claims, this->second_back_end);
+    return this->Eventually(
+        [&] { return this->Call(entry, "claims.example").status == 200; });
+  }
+
   void Beat(const Settings& node,
             const StandInBackEnd& back_end,
             const char* state = "ready") {
@@ -340,11 +349,7 @@
 TEST_F(SidecarTest, StoppedWhileCallersKeepComing_CutsNoneAndEndsSoon) {
   this->grace = milliseconds(6000);
   const Settings& archive = this->Start("archive");
-  const Settings& claims = this->Start("claims");
-  this->Configure(1);
-  this->Beat(claims, this->second_back_end);
-  ASSERT_TRUE(this->Eventually(
-      [&] { return this->Call(archive, "claims.example").status == 200; }));
+  ASSERT_TRUE(this->StartClaimsFor(archive));
   this->second_back_end.work = milliseconds(150);
   std::atomic<bool> ended{false};
   std::atomic<int> answered{0};
@@ -385,11 +390,7 @@
 TEST_F(SidecarTest, StoppingNodeEndsItsLastCall_NewCallerIsRefusedAsNotRun) {
   this->grace = milliseconds(6000);
   const Settings& archive = this->Start("archive");
-  const Settings& claims = this->Start("claims");
-  this->Configure(1);
-  this->Beat(claims, this->second_back_end);
-  ASSERT_TRUE(this->Eventually(
-      [&] { return this->Call(archive, "claims.example").status == 200; }));
+  ASSERT_TRUE(this->StartClaimsFor(archive));
   this->second_back_end.work = milliseconds(1200);
   auto stop = std::async(std::launch::async,
                          [&] { this->sidecars.front()->Shutdown(); });
