Logs tell how long after a leave a call was sent, and how old a heartbeat's sender is

Three causes were possible: a leave acknowledged and not remembered, the tail for calls under way begun anew after a restart, and a wait between the check and the first byte. The logs could not tell them apart.

Now: 'heartbeat' for each change with born_ms and up_ms, 'back end leaves' with up_ms, 'sent while leaving' with the time since the leave and since the check.

--- a/include/tanagerledge/back_end_life.h
+++ b/include/tanagerledge/back_end_life.h
@@ -71,6 +71,8 @@
   const std::optional<Heartbeat>& known() const { return this->current; }
   // How the fleet is to see it.
   EndpointState State(Instant now) const;
+  // Since its leave was acknowledged; nothing while it stays.
+  std::optional<std::chrono::milliseconds> SinceLeave(Instant now) const;
   // Whether a call for `service` may be sent to it now.
   bool MayRun(const ServiceName& service, Instant now) const;
 
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -210,6 +210,9 @@
     const HttpRequest& request,
     const ExchangeOptions& exchange) {
   connection.reusable = false;
+  if (exchange.on_sending) {
+    exchange.on_sending();
+  }
   const auto message = ToBeast(request, this->host);
   const auto written = Await<std::size_t>([&](auto handler) {
     http::async_write(connection.stream, message, std::move(handler));
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -52,6 +52,8 @@
 struct ExchangeOptions {
   // False for an answer that belongs to another request: it is read past.
   std::function<bool(const HttpResponse&)> belongs;
+  // Called when a connection is there, right before the first byte.
+  std::function<void()> on_sending;
   // Set by Send while the exchange is under way: ends it, as lost.
   std::function<void()>* cancel = nullptr;
 };
--- a/src/membership/back_end_life.cc
+++ b/src/membership/back_end_life.cc
@@ -74,6 +74,15 @@
                                                   : EndpointState::kReady;
 }
 
+std::optional<std::chrono::milliseconds> BackEndLife::SinceLeave(
+    Instant now) const {
+  return this->leaving
+             ? std::optional(
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                       now - *this->leaving))
+             : std::nullopt;
+}
+
 bool BackEndLife::MayRun(const ServiceName& service, Instant now) const {
   const EndpointState state = this->State(now);
   if (state == EndpointState::kGone || this->current->service != service) {
--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -279,6 +279,17 @@
   exchange.belongs = [this, &request](const HttpResponse& answer) {
     return this->platform.IsFor(answer, request.attempt_id);
   };
+  exchange.on_sending = [this, &request, checked = Now()] {
+    const Instant now = Now();
+    if (const auto since_leave = this->life.SinceLeave(now)) {
+      this->events.Write(
+          "sent while leaving",
+          {{"id", request.attempt_id},
+           {"instance", this->life.known()->instance},
+           {"since_leave_ms", since_leave->count()},
+           {"waited_ms", duration_cast<milliseconds>(now - checked).count()}});
+    }
+  };
   exchange.cancel = &call.break_off;
   auto answer =
       this->link.Send({back_end.address}, out, left + kAnswerMargin, exchange);
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -161,7 +161,8 @@
                      HttpServer::Handler([this](const HttpRequest&) {
                        return std::optional(MakeResponse(kOk, kMetricsType,
                                                          this->shown.Scrape()));
-                     })) {
+                     })),
+      started(Now()) {
   this->ShowMetrics();
 }
 
@@ -454,17 +455,25 @@
   }
   if (const auto* heartbeat = std::get_if<Heartbeat>(&*word)) {
     const HeartbeatVerdict verdict = this->owner.OnHeartbeat(*heartbeat);
-    if (verdict == HeartbeatVerdict::kStale) {
+    if (verdict != HeartbeatVerdict::kTaken) {
       this->events.Write(
-          "heartbeat stale",
+          verdict == HeartbeatVerdict::kStale ? "heartbeat stale" : "heartbeat",
           {{"instance", heartbeat->instance},
-           {"sequence", static_cast<std::int64_t>(heartbeat->sequence)}});
+           {"born_ms", heartbeat->born_ms},
+           {"sequence", static_cast<std::int64_t>(heartbeat->sequence)},
+           {"draining", std::int64_t{heartbeat->draining}},
+           {"up_ms",
+            duration_cast<milliseconds>(Now() - this->started).count()}});
     }
   } else {
     const auto& goodbye = std::get<Goodbye>(*word);
     const bool known = this->owner.OnGoodbye(goodbye.instance);
-    this->events.Write("back end leaves", {{"instance", goodbye.instance},
-                                           {"known", std::int64_t{known}}});
+    this->events.Write(
+        "back end leaves",
+        {{"instance", goodbye.instance},
+         {"known", std::int64_t{known}},
+         {"up_ms",
+          duration_cast<milliseconds>(Now() - this->started).count()}});
   }
   this->TellBackEnd();
   return MakeResponse(kOk, "application/json", "{}");
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -103,6 +103,7 @@
   std::vector<Endpoint> hints;  // Of nodes that membership has not met yet.
   Instant hints_until{};
   std::optional<Heartbeat> recalled;  // What the last start knew.
+  const Instant started;  // For the logs: how long this start has lived.
   bool stopping = false;
   // What the fleet was told last of the back end.
   EndpointState told_state = EndpointState::kGone;
