--- a/tests/membership/back_end_life_test.cc
+++ b/tests/membership/back_end_life_test.cc
@@ -71,6 +71,28 @@
   EXPECT_FALSE(this->MayRun());
 }
 
+TEST_F(BackEndLifeTest, LeaveOfAStartNeverSeen_LateHeartbeatChangesNothing) {
+  this->life.OnLeave("i1", this->now);
+  this->now += milliseconds(2100);
+  this->life.OnHeartbeat(this->Beat("i1", 5, 9), this->now);
+  EXPECT_FALSE(this->MayRun());
+  // Others of another name are not meant.
+  this->life.OnHeartbeat(this->Beat("i2", 8, 1), this->now);
+  EXPECT_TRUE(this->MayRun());
+}
+
+TEST_F(BackEndLifeTest, FirstWordIsDraining_RunsNothing) {
+  this->life.OnHeartbeat(this->Beat("i1", 5, 9, true), this->now);
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kDraining);
+  EXPECT_FALSE(this->MayRun());
+}
+
+TEST_F(BackEndLifeTest, DrainingWordOutOfOrder_IsTakenAllTheSame) {
+  this->life.OnHeartbeat(this->Beat("i1", 5, 9), this->now);
+  this->life.OnHeartbeat(this->Beat("i1", 5, 8, true), this->now);
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kDraining);
+}
+
 TEST_F(BackEndLifeTest, SameNameStartsAnew_CountsAnew) {
   this->life.OnHeartbeat(this->Beat("i1", 5, 40), this->now);
   this->life.OnLeave("i1", this->now);
--- /dev/null
+++ b/tests/node/back_end_watch_test.cc
@@ -0,0 +1,62 @@
+// What a node by release notes remembers of a drain.
+
+#include "src/node/back_end_watch.h"
+
+#include <gtest/gtest.h>
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::seconds;
+
+class BackEndWatchTest : public ::testing::Test {
+ protected:
+  void Announce(const std::string& instance) {
+    Announcement word;
+    word.service = {"claims"};
+    word.back_end = {"10.0.0.1:80"};
+    word.instance = instance;
+    word.slots = 13;
+    word.state = EndpointState::kReady;
+    this->watch.OnAnnounced(word, this->now);
+  }
+
+  EndpointState State() const { return this->watch.Current(this->now)->state; }
+
+  BackEndWatch watch;
+  Instant now = Instant{} + std::chrono::hours(1);
+};
+
+TEST_F(BackEndWatchTest, DrainBeforeAnyAnnouncement_IsRemembered) {
+  this->watch.OnDrain();
+  this->Announce("i1");
+  EXPECT_EQ(this->State(), EndpointState::kDraining);
+  this->Announce("i1");
+  EXPECT_EQ(this->State(), EndpointState::kDraining);
+}
+
+TEST_F(BackEndWatchTest, SilentAfterADrain_ComesBackDraining) {
+  this->Announce("i1");
+  this->watch.OnDrain();
+  this->now += seconds(6);
+  this->Announce("i1");
+  EXPECT_EQ(this->State(), EndpointState::kDraining);
+}
+
+TEST_F(BackEndWatchTest, TakenForDeadAfterADrain_ComesBackDraining) {
+  this->Announce("i1");
+  this->watch.OnDrain();
+  this->watch.OnDied();
+  this->Announce("i1");
+  EXPECT_EQ(this->State(), EndpointState::kDraining);
+}
+
+TEST_F(BackEndWatchTest, NextStartAfterADrain_IsReady) {
+  this->Announce("i1");
+  this->watch.OnDrain();
+  this->Announce("i2");
+  EXPECT_EQ(this->State(), EndpointState::kReady);
+}
+
+}  // namespace
+}  // namespace tanagerledge
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -56,6 +56,9 @@
   std::optional<HttpResponse> Answer(const HttpRequest& request) {
     HttpResponse response = MakeResponse(200, "text/plain", "answer");
     if (request.Path() == "/health") {
+      if (this->leaving) {
+        return MakeResponse(503, "text/plain", "leaving");
+      }
       response.headers.push_back({"X-Instance-Id", this->instance});
       return response;
     }
@@ -82,6 +85,7 @@
   const std::string instance;
   std::string address;
   std::atomic<bool> lose_answers{false};
+  std::atomic<bool> leaving{false};  // As health checks are told.
   std::atomic<milliseconds> work{milliseconds(0)};
   IoLoop& loop;
   HttpServer server;
@@ -143,6 +147,18 @@
     return *this->nodes.back();
   }
 
+  // Ends a sidecar and starts another one in its place, which knows nothing.
+  void Restart(std::size_t index) {
+    this->sidecars[index]->Shutdown();
+    this->sidecars[index] = std::make_unique<Sidecar>(
+        *this->nodes[index], this->platform, platform::ConnectStore);
+    EXPECT_TRUE(this->sidecars[index]->Start().has_value());
+    EXPECT_TRUE(this->Eventually([&] {
+      return this->Send(this->nodes[index]->readiness_address, {}).status ==
+             200;
+    }));
+  }
+
   // The operator's word: archive and claims by host, at a version.
   void Configure(int version) {
     const auto route = [](const char* host, const char* service,
@@ -205,7 +221,7 @@
 
   // A second node with the back end of claims; true once `entry` reaches it.
   bool StartClaimsFor(const Settings& entry) {
-    const Settings& claims = this->Start("claims");
+    const Settings& claims = this->Start("claims", {entry.address});
     this->Configure(1);
     this->Beat(claims, this->second_back_end);
     return this->Eventually(
@@ -228,6 +244,25 @@
     EXPECT_EQ(this->Send(node.admin_address, request).status, 200);
   }
 
+  // The back end says that it goes, and is acknowledged.
+  void Leave(const Settings& node, StandInBackEnd& back_end) {
+    back_end.leaving = true;
+    HttpRequest request;
+    request.method = "DELETE";
+    request.target = "/instances/" + back_end.instance;
+    EXPECT_EQ(this->Send(node.admin_address, request).status, 200);
+  }
+
+  // Calls for half a second; true when none of them reached the back end.
+  bool NothingReaches(const StandInBackEnd& back_end, const Settings& entry) {
+    const std::size_t before = back_end.Ran().size();
+    const Instant until = std::chrono::steady_clock::now() + milliseconds(500);
+    while (std::chrono::steady_clock::now() < until) {
+      this->Call(entry, "archive.example");
+    }
+    return back_end.Ran().size() == before;
+  }
+
   bool Eventually(const std::function<bool()>& holds) {
     const Instant until = std::chrono::steady_clock::now() + seconds(10);
     while (std::chrono::steady_clock::now() < until) {
@@ -301,6 +336,71 @@
   EXPECT_EQ(this->first_back_end.Ran().size(), before);
 }
 
+// A heartbeat may arrive seconds after it was sent, so after the goodbye too.
+TEST_F(SidecarTest, LeaveBeforeAnyHeartbeat_LateHeartbeatBringsNoCalls) {
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Send(archive.readiness_address, {}).status == 200; }));
+  this->Leave(archive, this->first_back_end);
+  this->Beat(archive, this->first_back_end);
+  EXPECT_TRUE(this->NothingReaches(this->first_back_end, archive));
+}
+
+TEST_F(SidecarTest, NodeRestartedAfterALeave_LateHeartbeatBringsNoCalls) {
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  this->Beat(archive, this->first_back_end);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+  this->Leave(archive, this->first_back_end);
+  this->Restart(0);
+  this->Beat(archive, this->first_back_end);
+  EXPECT_TRUE(this->NothingReaches(this->first_back_end, archive));
+}
+
+TEST_F(SidecarTest, LeaveThatTheStoreNeverGot_LateHeartbeatBringsNoCalls) {
+  const Settings& archive = this->Start("archive");
+  ASSERT_TRUE(this->StartClaimsFor(archive));
+  this->Beat(archive, this->first_back_end);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+  this->store.SetFaults({.down = true});
+  this->Leave(archive, this->first_back_end);
+  this->Restart(0);
+  this->Beat(archive, this->first_back_end);
+  EXPECT_TRUE(this->NothingReaches(this->first_back_end, archive));
+}
+
+TEST_F(SidecarTest, NodeRestartedAmidADrain_NoSecondTailForCalls) {
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  this->Beat(archive, this->first_back_end);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+  this->first_back_end.leaving = true;
+  this->Beat(archive, this->first_back_end, "draining");
+  this->Restart(0);
+  const Settings& other = this->Start("claims", {archive.address});
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Send(other.readiness_address, {}).status == 200; }));
+  this->Beat(archive, this->first_back_end, "draining");
+  EXPECT_TRUE(this->NothingReaches(this->first_back_end, archive));
+}
+
+// A back end that stays must be found again, also when the store is down.
+TEST_F(SidecarTest, NodeRestartedBesideAReadyBackEnd_ServesItAgain) {
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  this->Beat(archive, this->first_back_end);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+  this->Restart(0);
+  this->Beat(archive, this->first_back_end);
+  EXPECT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+}
+
 TEST_F(SidecarTest, AnswerLostAfterItRan_UnsafeCallIsNeitherRepeatedNorDenied) {
   const Settings& claims = this->Start("claims");
   this->Configure(1);
