An acknowledged leave is final, whatever the node knew and however often it restarted

Cause: the node acknowledged the leave of a back end that it did not know, and remembered nothing. It does not know it for up to a heartbeat after its own start. The same happens when an earlier start of the node's process acknowledged the leave. Class: an acknowledgement promised more than the node kept.

Why it works: leaves of unknown names are kept, and a back end that is older than the node's start, or whose name has left, is asked by a health check before it gets calls. A leaving one refuses that. Three heartbeats in order do the same for one that never answers health checks, unless its name has left. What the store holds of a leave counts as well. The question is the one that a restarted node asked already, so it costs no further probe.

--- a/include/tanagerledge/back_end_life.h
+++ b/include/tanagerledge/back_end_life.h
@@ -5,6 +5,10 @@
 // Load pattern: back ends that are replaced, drained or crash while calls come
 // in, and heartbeats that arrive late or out of order from an earlier start.
 //
+// A leave that was acknowledged is final, also when nothing was known of the
+// back end and also when an earlier start of this node acknowledged it. So a
+// back end that may have left before is asked first (NeedsProof).
+//
 // Pure: heartbeats and the time in, verdicts out.
 
 #ifndef TANAGERLEDGE_BACK_END_LIFE_H_
@@ -34,9 +38,10 @@
 };
 
 enum class HeartbeatVerdict {
-  kTaken,    // Nothing but the time of the last word has changed.
-  kChanged,  // Service, slots, state or start differ from before.
-  kStale,    // From before something that is known already: ignored.
+  kTaken,     // Nothing but the time of the last word has changed.
+  kChanged,   // Service, slots, state or start differ from before.
+  kStale,     // From before something that is known already: ignored.
+  kUnproved,  // May be from before its leave: ask the back end itself.
 };
 
 struct BackEndLifeConfig {
@@ -46,6 +51,9 @@
   // How long after the acknowledgement of a drain calls are still sent on, for
   // those that were under way. Half of the platform's bound of 2 s.
   std::chrono::milliseconds drain_tail{1000};
+  // Unix time in ms of the node's start. A back end that is older may have left
+  // at an earlier start of the node. Nothing: there was none.
+  std::optional<std::int64_t> node_started_ms;
 };
 
 class BackEndLife {
@@ -56,9 +64,11 @@
   // Events -------------------------------------------------------------------
 
   HeartbeatVerdict OnHeartbeat(const Heartbeat& heartbeat, Instant now);
-  // What an earlier start of this node had written down, and the back end has
-  // just confirmed. Ignored once a heartbeat came.
-  void OnRecalled(const Heartbeat& heartbeat, Instant now);
+  // The back end, asked at `asked`, has said itself that it is there and stays.
+  // False when something newer is known by now, such as its leave.
+  bool OnConfirmed(const Heartbeat& heartbeat, Instant asked, Instant now);
+  // An earlier start of this node wrote down that the back end was leaving.
+  void OnLeftEarlier(const Heartbeat& heartbeat, Instant now);
   // The back end says that it goes; it serves on for a moment. True when it was
   // the one that is known.
   bool OnLeave(const std::string& instance, Instant now);
@@ -69,6 +79,8 @@
 
   // The back end, whatever its state; nothing before the first heartbeat.
   const std::optional<Heartbeat>& known() const { return this->current; }
+  // A back end whose heartbeat waits for OnConfirmed.
+  const std::optional<Heartbeat>& unproved() const { return this->candidate; }
   // How the fleet is to see it.
   EndpointState State(Instant now) const;
   // Since its leave was acknowledged; nothing while it stays.
@@ -91,13 +103,29 @@
   bool IsRetired(const Start& start) const;
   void Retire(const Start& start);
   bool IsOlder(const Heartbeat& heartbeat) const;
+  bool IsCurrent(const Heartbeat& heartbeat) const;
+  bool NeedsProof(const Heartbeat& heartbeat) const;
+  HeartbeatVerdict Consider(const Heartbeat& heartbeat, Instant now);
+  HeartbeatVerdict Adopt(const Heartbeat& heartbeat, Instant now);
+  void BeginLeave(Instant now, std::chrono::milliseconds tail);
+  std::optional<Instant> LeftUnknownAt(const std::string& instance) const;
 
   BackEndLifeConfig config;
   std::optional<Heartbeat> current;
   Instant heard{};
   std::optional<Instant> leaving;  // When its leaving was acknowledged.
+  Instant tail_end{};              // Until then calls under way still run.
   bool dead = false;
+  std::optional<Heartbeat> candidate;
+  int candidate_words = 0;    // Heartbeats of the candidate, in their order.
   std::deque<Start> retired;  // Left for good: their late heartbeats are stale.
+  // Leaves of names that were not known, with no birth time to tell starts
+  // apart.
+  struct UnknownLeave {
+    std::string instance;
+    Instant at{};
+  };
+  std::deque<UnknownLeave> left_unknown;
 };
 
 }  // namespace tanagerledge
--- a/src/membership/back_end_life.cc
+++ b/src/membership/back_end_life.cc
@@ -5,19 +5,49 @@
 namespace tanagerledge {
 namespace {
 
-// Starts remembered as gone. A heartbeat may be late by seconds, and a machine
-// starts a back end every few seconds at most.
-constexpr std::size_t kRetiredKept = 32;
+// Leaves remembered. A heartbeat may be late by seconds, and a machine starts a
+// back end every few seconds at most.
+constexpr std::size_t kLeavesKept = 32;
+// The clock that stamps births and the node's start may be set back by seconds
+// in between.
+constexpr std::int64_t kClockStepMs = 5000;
+// So many heartbeats in their order prove as much as a health check: after its
+// leave a back end sends none, and late ones come singly.
+constexpr int kWordsOfProof = 3;
 
 }  // namespace
 
 HeartbeatVerdict BackEndLife::OnHeartbeat(const Heartbeat& heartbeat,
                                           Instant now) {
   const Start start = StartOf(heartbeat);
-  if (this->IsRetired(start) || this->IsOlder(heartbeat)) {
+  if (this->IsRetired(start)) {
     return HeartbeatVerdict::kStale;
   }
-  const bool same_start = this->current && StartOf(*this->current) == start;
+  if (this->IsOlder(heartbeat)) {
+    return HeartbeatVerdict::kStale;
+  }
+  if (this->NeedsProof(heartbeat)) {
+    return this->Consider(heartbeat, now);
+  }
+  return this->Adopt(heartbeat, now);
+}
+
+HeartbeatVerdict BackEndLife::Consider(const Heartbeat& heartbeat,
+                                       Instant now) {
+  const bool same_start =
+      this->candidate && StartOf(*this->candidate) == StartOf(heartbeat);
+  if (same_start && heartbeat.sequence <= this->candidate->sequence) {
+    return HeartbeatVerdict::kStale;
+  }
+  this->candidate = heartbeat;
+  this->candidate_words = same_start ? this->candidate_words + 1 : 1;
+  const bool proved = this->candidate_words >= kWordsOfProof &&
+                      !this->LeftUnknownAt(heartbeat.instance);
+  return proved ? this->Adopt(heartbeat, now) : HeartbeatVerdict::kUnproved;
+}
+
+HeartbeatVerdict BackEndLife::Adopt(const Heartbeat& heartbeat, Instant now) {
+  const bool same_start = this->IsCurrent(heartbeat);
   const bool was_shown = this->State(now) != EndpointState::kGone;
   const bool same = same_start && was_shown &&
                     this->current->service == heartbeat.service &&
@@ -31,30 +61,63 @@
     this->leaving.reset();
   }
   if (heartbeat.draining && !this->leaving) {
-    this->leaving = now;
+    this->BeginLeave(now, this->config.drain_tail);
   }
   this->current = heartbeat;
   this->heard = now;
   this->dead = false;
+  this->candidate.reset();
   return same ? HeartbeatVerdict::kTaken : HeartbeatVerdict::kChanged;
 }
 
-void BackEndLife::OnRecalled(const Heartbeat& heartbeat, Instant now) {
-  if (!this->current) {
-    this->current = heartbeat;
-    this->heard = now;
+bool BackEndLife::OnConfirmed(const Heartbeat& heartbeat,
+                              Instant asked,
+                              Instant now) {
+  const auto left = this->LeftUnknownAt(heartbeat.instance);
+  if (this->IsRetired(StartOf(heartbeat)) || this->IsCurrent(heartbeat) ||
+      this->IsOlder(heartbeat) || (left && *left >= asked)) {
+    return false;
+  }
+  // A heartbeat that came meanwhile knows more.
+  const bool heard_since = this->candidate &&
+                           StartOf(*this->candidate) == StartOf(heartbeat) &&
+                           this->candidate->sequence > heartbeat.sequence;
+  this->Adopt(heard_since ? *this->candidate : heartbeat, now);
+  return true;
+}
+
+void BackEndLife::OnLeftEarlier(const Heartbeat& heartbeat, Instant now) {
+  if (this->IsCurrent(heartbeat) && !this->leaving) {
+    this->BeginLeave(now, std::chrono::milliseconds{0});
+  }
+  if (this->candidate && StartOf(*this->candidate) == StartOf(heartbeat)) {
+    this->candidate.reset();
   }
+  this->Retire(StartOf(heartbeat));
 }
 
 bool BackEndLife::OnLeave(const std::string& instance, Instant now) {
-  if (!this->current || this->current->instance != instance) {
-    return false;
+  if (this->current && this->current->instance == instance) {
+    if (!this->leaving) {
+      this->BeginLeave(now, this->config.drain_tail);
+    }
+    this->Retire(StartOf(*this->current));
+    return true;
   }
-  if (!this->leaving) {
-    this->leaving = now;
+  if (this->candidate && this->candidate->instance == instance) {
+    this->Retire(StartOf(*this->candidate));
+    this->candidate.reset();
   }
-  this->Retire(StartOf(*this->current));
-  return true;
+  this->left_unknown.push_back({instance, now});
+  if (this->left_unknown.size() > kLeavesKept) {
+    this->left_unknown.pop_front();
+  }
+  return false;
+}
+
+void BackEndLife::BeginLeave(Instant now, std::chrono::milliseconds tail) {
+  this->leaving = now;
+  this->tail_end = now + tail;
 }
 
 void BackEndLife::OnDied(const std::string& instance) {
@@ -88,8 +151,7 @@
   if (state == EndpointState::kGone || this->current->service != service) {
     return false;
   }
-  return state == EndpointState::kReady ||
-         now - *this->leaving < this->config.drain_tail;
+  return state == EndpointState::kReady || now < this->tail_end;
 }
 
 bool BackEndLife::IsRetired(const Start& start) const {
@@ -100,7 +162,7 @@
   if (!this->IsRetired(start)) {
     this->retired.push_back(start);
   }
-  if (this->retired.size() > kRetiredKept) {
+  if (this->retired.size() > kLeavesKept) {
     this->retired.pop_front();
   }
 }
@@ -111,10 +173,35 @@
   if (!this->current) {
     return false;
   }
-  if (StartOf(*this->current) == StartOf(heartbeat)) {
+  if (this->IsCurrent(heartbeat)) {
     return heartbeat.sequence <= this->current->sequence;
   }
   return heartbeat.born_ms != 0 && heartbeat.born_ms < this->current->born_ms;
 }
 
+bool BackEndLife::IsCurrent(const Heartbeat& heartbeat) const {
+  return this->current && StartOf(*this->current) == StartOf(heartbeat);
+}
+
+// Whether the back end may have left without this start of the node knowing
+// which one it was. One that is draining is believed at once.
+bool BackEndLife::NeedsProof(const Heartbeat& heartbeat) const {
+  if (heartbeat.draining || this->IsCurrent(heartbeat)) {
+    return false;
+  }
+  const bool older_than_node =
+      !this->current && this->config.node_started_ms &&
+      heartbeat.born_ms < *this->config.node_started_ms + kClockStepMs;
+  return older_than_node || this->LeftUnknownAt(heartbeat.instance);
+}
+
+std::optional<Instant> BackEndLife::LeftUnknownAt(
+    const std::string& instance) const {
+  const auto newest =
+      std::ranges::find(this->left_unknown.rbegin(), this->left_unknown.rend(),
+                        instance, &UnknownLeave::instance);
+  return newest == this->left_unknown.rend() ? std::nullopt
+                                             : std::optional(newest->at);
+}
+
 }  // namespace tanagerledge
--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -28,8 +28,8 @@
 // Between two looks whether the back end still listens.
 constexpr milliseconds kDeathCheckInterval{200};
 // A health check waits for a slot like any request; heartbeats come every 1.5 s
-// and make it needless.
-constexpr milliseconds kRecallTimeout{1000};
+// and begin the next one.
+constexpr milliseconds kConfirmTimeout{1000};
 // When a service that is needed turns calls away, its queue is as long as its
 // calls' deadline, some 250 ms: sooner is of no use.
 constexpr milliseconds kDependencyPause{250};
@@ -384,24 +384,31 @@
   return verdict;
 }
 
-void Owner::RunRecall(const Heartbeat& recalled,
-                      const std::string& health_path) {
+void Owner::RunConfirm(const Heartbeat& told, const std::string& health_path) {
   HttpRequest request;
   request.target = health_path;
-  const auto answer =
-      this->link.Send({recalled.address}, request, kRecallTimeout);
+  const Instant asked = Now();
+  const auto answer = this->link.Send({told.address}, request, kConfirmTimeout);
+  const Instant now = Now();
   const auto instance =
       answer ? this->platform.WellInstance(*answer) : std::nullopt;
-  const bool same = instance == recalled.instance;
-  this->events.Write("back end recalled", {{"instance", recalled.instance},
-                                           {"same", std::int64_t{same}}});
-  if (same && !this->life.known()) {
-    const Instant now = Now();
-    this->life.OnRecalled(recalled, now);
-    this->Carry(this->queue.OnSlots(recalled.slots, now));
+  const bool same = instance == told.instance;
+  const bool taken = same && this->life.OnConfirmed(told, asked, now);
+  this->events.Write("back end confirmed",
+                     {{"instance", told.instance},
+                      {"born_ms", told.born_ms},
+                      {"status", std::int64_t{answer ? answer->status : 0}},
+                      {"same", std::int64_t{same}},
+                      {"taken", std::int64_t{taken}}});
+  if (taken) {
+    this->Carry(this->queue.OnSlots(this->life.known()->slots, now));
   }
 }
 
+void Owner::OnLeftEarlier(const Heartbeat& told) {
+  this->life.OnLeftEarlier(told, Now());
+}
+
 bool Owner::OnGoodbye(const std::string& instance) {
   return this->life.OnLeave(instance, Now());
 }
--- a/src/sidecar/owner.h
+++ b/src/sidecar/owner.h
@@ -64,9 +64,12 @@
   // Back end ------------------------------------------------------------------
 
   HeartbeatVerdict OnHeartbeat(const Heartbeat& heartbeat);
-  // Asks the back end whether it is still the one that an earlier start of this
-  // node knew, and serves it again at once if so. Waits for the answer.
-  void RunRecall(const Heartbeat& recalled, const std::string& health_path);
+  // Asks the back end whether it is the one that an unproved heartbeat, or an
+  // earlier start of this node, tells of, and serves it at once if so. Waits
+  // for the answer.
+  void RunConfirm(const Heartbeat& told, const std::string& health_path);
+  // An earlier start of this node knew that it was leaving.
+  void OnLeftEarlier(const Heartbeat& told);
   bool OnGoodbye(const std::string& instance);
   // This node stops: calls are taken for a moment longer, then turned away.
   void OnNodeStopping();
@@ -74,6 +77,10 @@
   const std::optional<Heartbeat>& back_end() const {
     return this->life.known();
   }
+  // Waits to be confirmed.
+  const std::optional<Heartbeat>& unproved_back_end() const {
+    return this->life.unproved();
+  }
   // As the fleet is to see it: a stopping node takes nothing.
   EndpointState State() const;
   EndpointState BackEndState() const;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -49,11 +49,14 @@
   return config;
 }
 
-BackEndLifeConfig LifeConfigOf(const Settings& settings) {
+BackEndLifeConfig LifeConfigOf(const Settings& settings,
+                               Incarnation incarnation) {
   constexpr int kHeartbeatsMissed = 3;  // One may come seconds late.
   BackEndLifeConfig config;
   config.silence = settings.heartbeat_period * kHeartbeatsMissed;
   config.drain_tail = settings.bounds.drain / 2;
+  // Incarnations are the Unix ms of a start.
+  config.node_started_ms = static_cast<std::int64_t>(incarnation.value);
   return config;
 }
 
@@ -75,6 +78,17 @@
   return config;
 }
 
+std::string_view EventOf(HeartbeatVerdict verdict) {
+  switch (verdict) {
+    case HeartbeatVerdict::kStale:
+      return "heartbeat stale";
+    case HeartbeatVerdict::kUnproved:
+      return "heartbeat unproved";
+    default:
+      return "heartbeat";
+  }
+}
+
 Heartbeat HeartbeatOf(const wire::NodeRecord& record) {
   Heartbeat heartbeat;
   heartbeat.instance = record.instance;
@@ -112,7 +126,7 @@
             this->platform,
             this->suspects,
             this->events,
-            LifeConfigOf(this->settings),
+            LifeConfigOf(this->settings, this->identity.incarnation),
             this->identity.incarnation),
       entry(EntryConfigOf(this->settings, this->identity.incarnation),
             this->platform,
@@ -286,7 +300,7 @@
   this->front.SetLimits(limits);
   this->membership.SetInForce({this->mesh->version()});
   this->entry.SetConfig(this->mesh);
-  this->Recall();
+  this->ConfirmBackEnd();
 }
 
 std::int64_t Sidecar::BytesSent(Channel channel) const {
@@ -321,9 +335,11 @@
     const bool ready =
         record.state == static_cast<std::int32_t>(EndpointState::kReady);
     if (node == this->settings.address) {
-      if (ready && !this->recalled) {
+      if (record.state == static_cast<std::int32_t>(EndpointState::kDraining)) {
+        this->owner.OnLeftEarlier(HeartbeatOf(record));
+      } else if (ready && !this->recalled) {
         this->recalled = HeartbeatOf(record);
-        this->Recall();
+        this->ConfirmBackEnd();
       }
       return;
     }
@@ -342,18 +358,25 @@
   this->KeepConnections();
 }
 
-// Serves the back end of the last start again before its next heartbeat, when
-// it says itself that it is the same and well.
-void Sidecar::Recall() {
-  if (!this->recalled || !this->mesh || this->owner.back_end()) {
+// Asks a back end that may have left at an earlier start of this node: one
+// whose first heartbeat has come, or else the one that the last start wrote
+// down.
+void Sidecar::ConfirmBackEnd() {
+  const auto& heard = this->owner.unproved_back_end();
+  const auto& told = heard ? heard : this->recalled;
+  const bool wanted = heard || !this->owner.back_end();
+  if (!wanted || !told || !this->mesh || this->confirming) {
     return;
   }
-  const MeshService* service = this->mesh->Service(this->recalled->service);
+  const MeshService* service = this->mesh->Service(told->service);
   if (service == nullptr) {
     return;
   }
-  this->loop.SpawnHere([this, path = service->health_path] {
-    this->owner.RunRecall(*this->recalled, path);
+  this->confirming = true;
+  this->loop.SpawnHere([this, back_end = *told, path = service->health_path] {
+    this->owner.RunConfirm(back_end, path);
+    this->confirming = false;
+    this->TellBackEnd();
   });
 }
 
@@ -457,7 +480,7 @@
     const HeartbeatVerdict verdict = this->owner.OnHeartbeat(*heartbeat);
     if (verdict != HeartbeatVerdict::kTaken) {
       this->events.Write(
-          verdict == HeartbeatVerdict::kStale ? "heartbeat stale" : "heartbeat",
+          EventOf(verdict),
           {{"instance", heartbeat->instance},
            {"born_ms", heartbeat->born_ms},
            {"sequence", static_cast<std::int64_t>(heartbeat->sequence)},
@@ -465,6 +488,9 @@
            {"up_ms",
             duration_cast<milliseconds>(Now() - this->started).count()}});
     }
+    if (verdict == HeartbeatVerdict::kUnproved) {
+      this->ConfirmBackEnd();
+    }
   } else {
     const auto& goodbye = std::get<Goodbye>(*word);
     const bool known = this->owner.OnGoodbye(goodbye.instance);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -61,7 +61,7 @@
   void RunTicks();
   void OnConfig(std::shared_ptr<const MeshConfig> next);
   void OnNodeList(const NodeDirectory::Records& records);
-  void Recall();
+  void ConfirmBackEnd();
   void ShowEndpoints();
   void KeepConnections();
   std::int64_t BytesSent(Channel channel) const;
@@ -103,6 +103,7 @@
   std::vector<Endpoint> hints;  // Of nodes that membership has not met yet.
   Instant hints_until{};
   std::optional<Heartbeat> recalled;  // What the last start knew.
+  bool confirming = false;            // The back end is being asked.
   const Instant started;  // For the logs: how long this start has lived.
   bool stopping = false;
   // What the fleet was told last of the back end.
--- a/tests/membership/back_end_life_test.cc
+++ b/tests/membership/back_end_life_test.cc
@@ -125,7 +125,7 @@
 }
 
 TEST_F(BackEndLifeTest, RecalledAfterARestart_RunsAndTakesItsNextHeartbeat) {
-  this->life.OnRecalled(this->Beat("i1", 5, 8), this->now);
+  this->life.OnConfirmed(this->Beat("i1", 5, 8), this->now, this->now);
   EXPECT_TRUE(this->MayRun());
   EXPECT_EQ(this->life.OnHeartbeat(this->Beat("i1", 5, 7), this->now),
             HeartbeatVerdict::kStale);
@@ -135,11 +135,94 @@
 
 TEST_F(BackEndLifeTest, RecalledAfterAHeartbeat_ChangesNothing) {
   this->life.OnHeartbeat(this->Beat("i2", 9, 1, true), this->now);
-  this->life.OnRecalled(this->Beat("i1", 5, 8), this->now);
+  this->life.OnConfirmed(this->Beat("i1", 5, 8), this->now, this->now);
   EXPECT_EQ(this->life.known()->instance, "i2");
   EXPECT_EQ(this->life.State(this->now), EndpointState::kDraining);
 }
 
+// A node that may have acknowledged the back end's leave at an earlier start.
+class RestartedNodeTest : public BackEndLifeTest {
+ protected:
+  static constexpr std::int64_t kNodeStart = 100'000;
+
+  RestartedNodeTest() {
+    BackEndLifeConfig config;
+    config.node_started_ms = kNodeStart;
+    this->life = BackEndLife(config);
+  }
+};
+
+TEST_F(RestartedNodeTest, OlderBackEnd_WaitsUntilItIsConfirmed) {
+  const Heartbeat beat = this->Beat("i1", 5, 9);
+  EXPECT_EQ(this->life.OnHeartbeat(beat, this->now),
+            HeartbeatVerdict::kUnproved);
+  EXPECT_FALSE(this->MayRun());
+  EXPECT_TRUE(this->life.OnConfirmed(beat, this->now, this->now));
+  EXPECT_TRUE(this->MayRun());
+  EXPECT_FALSE(this->life.unproved().has_value());
+}
+
+TEST_F(RestartedNodeTest, BackEndOfThisStart_IsTakenAtOnce) {
+  this->life.OnHeartbeat(this->Beat("i1", kNodeStart + 60'000, 1), this->now);
+  EXPECT_TRUE(this->MayRun());
+}
+
+TEST_F(RestartedNodeTest, LeftBetweenQuestionAndAnswer_IsNotConfirmed) {
+  const Heartbeat beat = this->Beat("i1", 5, 9);
+  const Instant asked = this->now;
+  this->life.OnHeartbeat(beat, asked);
+  this->now += milliseconds(5);
+  this->life.OnLeave("i1", this->now);
+  EXPECT_FALSE(this->life.OnConfirmed(beat, asked, this->now));
+  EXPECT_FALSE(this->MayRun());
+}
+
+TEST_F(RestartedNodeTest, NeverAnswersHealthChecks_ThreeHeartbeatsAreEnough) {
+  this->life.OnHeartbeat(this->Beat("i1", 5, 7), this->now);
+  this->life.OnHeartbeat(this->Beat("i1", 5, 7), this->now);
+  this->life.OnHeartbeat(this->Beat("i1", 5, 8), this->now);
+  EXPECT_FALSE(this->MayRun());
+  this->life.OnHeartbeat(this->Beat("i1", 5, 9), this->now);
+  EXPECT_TRUE(this->MayRun());
+}
+
+TEST_F(RestartedNodeTest, LeftWithoutAName_HeartbeatsProveNothing) {
+  this->life.OnLeave("i1", this->now);
+  for (std::uint64_t sequence = 1; sequence < 9; ++sequence) {
+    this->life.OnHeartbeat(this->Beat("i1", 5, sequence), this->now);
+  }
+  EXPECT_FALSE(this->MayRun());
+}
+
+TEST_F(RestartedNodeTest, NameStartsAnewAfterItsLeave_IsConfirmedAndServed) {
+  this->life.OnLeave("i1", this->now);
+  this->now += seconds(4);
+  const Heartbeat beat = this->Beat("i1", kNodeStart + 4000, 1);
+  EXPECT_EQ(this->life.OnHeartbeat(beat, this->now),
+            HeartbeatVerdict::kUnproved);
+  EXPECT_TRUE(this->life.OnConfirmed(beat, this->now, this->now));
+  EXPECT_TRUE(this->MayRun());
+}
+
+TEST_F(RestartedNodeTest, LeavingWasWrittenDown_NothingBringsItBack) {
+  const Heartbeat beat = this->Beat("i1", 5, 9);
+  this->life.OnHeartbeat(beat, this->now);
+  this->life.OnLeftEarlier(beat, this->now);
+  EXPECT_EQ(this->life.OnHeartbeat(this->Beat("i1", 5, 10), this->now),
+            HeartbeatVerdict::kStale);
+  EXPECT_FALSE(this->life.OnConfirmed(beat, this->now, this->now));
+  EXPECT_FALSE(this->MayRun());
+}
+
+TEST_F(RestartedNodeTest, LeavingWrittenDownIsReadLate_CallsEndAtOnce) {
+  const Heartbeat beat = this->Beat("i1", 5, 9);
+  this->life.OnHeartbeat(beat, this->now);
+  this->life.OnConfirmed(beat, this->now, this->now);
+  this->life.OnLeftEarlier(beat, this->now);
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kDraining);
+  EXPECT_FALSE(this->MayRun());
+}
+
 TEST_F(BackEndLifeTest, Silent_IsGoneUntilItSpeaks) {
   this->life.OnHeartbeat(this->Beat("i1", 5, 1), this->now);
   this->now += milliseconds(4501);
