A draining word counts also when a later heartbeat came first

What callers would see: a back end that has been told that its draining is known still gets calls. Cause: a heartbeat with a lower sequence was ignored whole, but acknowledged. A back end never goes back from draining, so the order of the words does not matter.

Test, red before: DrainingWordOutOfOrder_IsTakenAllTheSame.

--- a/src/membership/back_end_life.cc
+++ b/src/membership/back_end_life.cc
@@ -24,6 +24,11 @@
     return HeartbeatVerdict::kStale;
   }
   if (this->IsOlder(heartbeat)) {
+    // Draining is final for a start, in whatever order its words come.
+    if (this->IsCurrent(heartbeat) && heartbeat.draining && !this->leaving) {
+      this->BeginLeave(now, this->config.drain_tail);
+      return HeartbeatVerdict::kChanged;
+    }
     return HeartbeatVerdict::kStale;
   }
   if (this->NeedsProof(heartbeat)) {
