A restarted node gives a draining back end no second tail

What callers would see: calls run for up to half of drain_ms after a node that was restarted first hears 'draining', although its earlier start had acknowledged it. Cause: the tail began with the first word that this start of the node heard. No call can be under way to a back end that was not known, so it gets none.

Test, red before: FirstWordIsDraining_RunsNothing.

--- a/src/membership/back_end_life.cc
+++ b/src/membership/back_end_life.cc
@@ -66,7 +66,9 @@
     this->leaving.reset();
   }
   if (heartbeat.draining && !this->leaving) {
-    this->BeginLeave(now, this->config.drain_tail);
+    // No call is under way to a back end that was not known.
+    this->BeginLeave(now, same_start ? this->config.drain_tail
+                                     : std::chrono::milliseconds{0});
   }
   this->current = heartbeat;
   this->heard = now;
