Nodes by release notes remember a drain too

What callers would see: after POST /drain a back end gets calls again, when the node had not heard of it yet, had taken it for dead, or had not heard from it for 5 s. Cause: the drain was a mark on the last announcement, and went with it; the operator was told that it drains all the same. The drain now belongs to the start of the back end, known or next.

--- a/src/node/back_end_watch.cc
+++ b/src/node/back_end_watch.cc
@@ -82,16 +82,22 @@
   const bool same_start = fresh &&
                           this->known->instance == announcement.instance &&
                           this->known->back_end == announcement.back_end;
-  // Draining never turns back within one start of the back end.
-  const bool keeps_draining =
-      same_start && this->known->state == EndpointState::kDraining;
   Announcement next = announcement;
-  if (keeps_draining) {
+  if (std::exchange(this->next_is_leaving, false)) {
     next.state = EndpointState::kDraining;
   }
+  // Draining never turns back within one start of the back end.
+  const bool told_apart = !announcement.instance.empty() || same_start;
+  if (told_apart && this->leaving_instance == announcement.instance) {
+    next.state = EndpointState::kDraining;
+  }
+  if (next.state == EndpointState::kDraining) {
+    this->leaving_instance = next.instance;
+  }
   const bool changed = !same_start || this->known->state != next.state ||
                        this->known->slots != next.slots ||
                        this->known->service != next.service;
+  this->last_instance = next.instance;
   this->known = std::move(next);
   this->heard = now;
   return changed;
@@ -99,6 +105,8 @@
 
 void BackEndWatch::OnDrain() {
   const std::scoped_lock lock(this->mutex);
+  this->leaving_instance = this->last_instance;
+  this->next_is_leaving = !this->last_instance;
   if (this->known) {
     this->known->state = EndpointState::kDraining;
   }
--- a/src/node/back_end_watch.h
+++ b/src/node/back_end_watch.h
@@ -48,7 +48,9 @@
   // True when something other than the time of the last word has changed.
   bool OnAnnounced(const Announcement& announcement, Instant now);
 
-  // The back end leaves: it stays known until it goes silent.
+  // The back end leaves: the last one known, or else the first that announces
+  // itself. Holds for that start of it, also over silence; a start without a
+  // name ends with its silence.
   void OnDrain();
 
   // Proved dead: nothing listens at its address, or another instance does.
@@ -61,6 +63,10 @@
   mutable std::mutex mutex;
   std::optional<Announcement> known;
   Instant heard{};
+  std::optional<std::string> last_instance;  // Also of one that died.
+  // The start that leaves, and whether the next one to announce itself is it.
+  std::optional<std::string> leaving_instance;
+  bool next_is_leaving = false;
 };
 
 }  // namespace tanagerledge
--- a/tests/node/back_end_watch_test.cc
+++ b/tests/node/back_end_watch_test.cc
@@ -58,5 +58,15 @@
   EXPECT_EQ(this->State(), EndpointState::kReady);
 }
 
+TEST_F(BackEndWatchTest, NamelessStartSilentAfterADrain_CountsAsANewOne) {
+  this->Announce("");
+  this->watch.OnDrain();
+  this->Announce("");
+  EXPECT_EQ(this->State(), EndpointState::kDraining);
+  this->now += seconds(6);
+  this->Announce("");
+  EXPECT_EQ(this->State(), EndpointState::kReady);
+}
+
 }  // namespace
 }  // namespace tanagerledge
