--- a/include/tanagerledge/ports.h
+++ b/include/tanagerledge/ports.h
@@ -57,7 +57,8 @@
 
   virtual ~PeerPort() = default;
 
-  // Sends one way, best effort. Never waits.
+  // Sends one way, best effort. Never waits. Its handler begins after those of
+  // all that was sent before it on the same connection.
   virtual void Send(const NodeId& to, Channel channel, std::string message) = 0;
 
   // Sends a request and waits for its reply.
--- a/tests/adapters/peer_transport_test.cc
+++ b/tests/adapters/peer_transport_test.cc
@@ -5,9 +5,11 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace tanagerledge {
 namespace {
@@ -103,6 +105,30 @@
   });
 }
 
+// A cancel may arrive in one read with the call that it is for.
+TEST_F(PeerTransportTest, MessageRightBehindARequest_IsTakenAfterIt) {
+  std::vector<std::string> taken;
+  this->OnRequest([&](const NodeId&, std::string_view request) {
+    taken.emplace_back(request);
+    return std::string();
+  });
+  this->server.handlers.on_message[static_cast<int>(Channel::kCall)] =
+      [&](const NodeId&, std::string_view message) {
+        taken.emplace_back(message);
+      };
+  this->Run([&](const NodeId& to) {
+    ASSERT_TRUE(this->Ask(to, "greet", milliseconds(2000)).has_value());
+    // What is sent while a large frame is being written goes out together.
+    this->client.transport->Send(to, Channel::kReach,
+                                 std::string(500'000, 'x'));
+    this->loop.SpawnHere([&] { this->Ask(to, "call", milliseconds(2000)); });
+    boost::this_fiber::yield();
+    this->client.transport->Send(to, Channel::kCall, "cancel");
+    this->loop.SleepFor(milliseconds(200));
+  });
+  EXPECT_EQ(taken, (std::vector<std::string>{"greet", "call", "cancel"}));
+}
+
 TEST_F(PeerTransportTest, NoReplyInTime_IsLost) {
   this->OnRequest([this](const NodeId&, std::string_view) {
     this->loop.SleepFor(milliseconds(200));
