What changed while a call waited for a connection is seen before its first byte

What callers would see: a request that reaches a back end after its leave, or after its caller has gone. Cause: both were checked before the connection to the back end was there, which may take up to 500 ms; a cancel in that time found nothing to break off and was forgotten. Now both are asked again when the connection stands; what is withdrawn has provably not run.

Test: HttpClientTest.WithdrawnOnceConnected_NothingIsSent (does not compile before). The wait itself is not provoked by a test: on loopback a connection comes at once or, by the retry of its opening packet, after 1 s.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -209,10 +209,10 @@
     Connection& connection,
     const HttpRequest& request,
     const ExchangeOptions& exchange) {
-  connection.reusable = false;
-  if (exchange.on_sending) {
-    exchange.on_sending();
+  if (exchange.may_send && !exchange.may_send()) {
+    return tl::unexpected(HttpError{false, "no longer to be sent"});
   }
+  connection.reusable = false;
   const auto message = ToBeast(request, this->host);
   const auto written = Await<std::size_t>([&](auto handler) {
     http::async_write(connection.stream, message, std::move(handler));
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -52,9 +52,10 @@
 struct ExchangeOptions {
   // False for an answer that belongs to another request: it is read past.
   std::function<bool(const HttpResponse&)> belongs;
-  // Called when a connection is there, right before the first byte.
-  std::function<void()> on_sending;
-  // Set by Send while the exchange is under way: ends it, as lost.
+  // Asked when a connection is there, right before the first byte: what was
+  // right when Send was called may have changed. False: nothing is sent.
+  std::function<bool()> may_send;
+  // Set by Send once the connection is there: ends the exchange, as lost.
   std::function<void()>* cancel = nullptr;
 };
 
--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -279,20 +279,17 @@
   exchange.belongs = [this, &request](const HttpResponse& answer) {
     return this->platform.IsFor(answer, request.attempt_id);
   };
-  exchange.on_sending = [this, &request, checked = Now()] {
-    const Instant now = Now();
-    if (const auto since_leave = this->life.SinceLeave(now)) {
-      this->events.Write(
-          "sent while leaving",
-          {{"id", request.attempt_id},
-           {"instance", this->life.known()->instance},
-           {"since_leave_ms", since_leave->count()},
-           {"waited_ms", duration_cast<milliseconds>(now - checked).count()}});
-    }
+  std::optional<wire::CallReply> withdrawn;
+  exchange.may_send = [this, &call, &withdrawn, checked = Now()] {
+    withdrawn = this->WhyNotSend(call, checked);
+    return !withdrawn;
   };
   exchange.cancel = &call.break_off;
   auto answer =
       this->link.Send({back_end.address}, out, left + kAnswerMargin, exchange);
+  if (withdrawn) {
+    return std::move(*withdrawn);
+  }
   if (!answer) {
     return this->OnNoAnswer(call, answer.error());
   }
@@ -316,6 +313,33 @@
                    "the answer was not one to this request");
 }
 
+// What has changed while the call waited for a connection to the back end.
+std::optional<wire::CallReply> Owner::WhyNotSend(const Call& call,
+                                                 Instant checked) {
+  const wire::CallRequest& request = *call.request;
+  const Instant now = Now();
+  const auto waited = duration_cast<milliseconds>(now - checked);
+  if (call.caller_left) {
+    return NotRun(Reason::kDeadline, "the caller left");
+  }
+  const bool same_back_end =
+      this->life.known() && this->life.known()->instance == call.instance;
+  if (!same_back_end || !this->MayRun(request, now)) {
+    this->events.Write("send withdrawn", {{"id", request.attempt_id},
+                                          {"instance", call.instance},
+                                          {"waited_ms", waited.count()}});
+    return NotRun(Reason::kNoEndpoint, "the back end left meanwhile");
+  }
+  if (const auto since_leave = this->life.SinceLeave(now)) {
+    this->events.Write("sent while leaving",
+                       {{"id", request.attempt_id},
+                        {"instance", call.instance},
+                        {"since_leave_ms", since_leave->count()},
+                        {"waited_ms", waited.count()}});
+  }
+  return std::nullopt;
+}
+
 wire::CallReply Owner::Accept(HttpResponse&& answer) const {
   wire::CallReply reply = MakeReply(Outcome::kOk, Reason::kNone, "");
   reply.status = answer.status;
--- a/src/sidecar/owner.h
+++ b/src/sidecar/owner.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -119,6 +120,7 @@
   static SendKey KeyOf(const NodeId& from, std::int64_t send_id);
   wire::CallReply Admit(const CallPtr& call);
   wire::CallReply SendToBackEnd(Call& call);
+  std::optional<wire::CallReply> WhyNotSend(const Call& call, Instant checked);
   wire::CallReply OnNoAnswer(Call& call, const HttpError& error);
   wire::CallReply Accept(HttpResponse&& answer) const;
   void CheckDeath(const Call& call);
--- a/tests/log/http_client_test.cc
+++ b/tests/log/http_client_test.cc
@@ -167,6 +167,19 @@
   });
 }
 
+TEST_F(HttpClientTest, WithdrawnOnceConnected_NothingIsSent) {
+  this->Serve({{kOk}, {kOk}});
+  this->WithClient([&](HttpClient& client) {
+    ExchangeOptions exchange;
+    exchange.may_send = [] { return false; };
+    const auto response = client.Send(kGet, seconds(5), exchange);
+    ASSERT_FALSE(response.has_value());
+    EXPECT_FALSE(response.error().may_have_arrived);
+    EXPECT_TRUE(client.Send(kGet, seconds(5)).has_value());
+  });
+  EXPECT_EQ(this->accepted, 2);
+}
+
 TEST_F(HttpClientTest, Close_EndsARequestInFlight) {
   this->Serve({{"", ""}});
   this->WithClient([&](HttpClient& client) {
