Answers without end are cut at a bound, not at the time-out

What callers would see: a node that takes in up to 3 GB in 10 s from one faulty back end and is killed for its memory, and interim answers passed on as answers. Seen in the new tests before: of twelve kinds of endless answers seven were cut; chunk sizes, chunk extensions and trailers grew without bound until the time-out (2.6 to 3.0 GB sent), answers to other requests were read on for ever, and '100 Continue' was taken for the answer. Cause: limits held for heads and bodies, not for what stands between and behind them, nor for the number of answers.

Now a connection holds at most 64 KB that is not parsed, and eight stray answers are read past. All twelve end within 2 s of a time-out of 10 s.

Test: EndlessAnswerTest.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -28,6 +28,12 @@
 constexpr int kProbesLost = 2;
 constexpr int kSilenceMs = 2500;
 
+// Answers below this announce another one.
+constexpr int kFirstFinalStatus = 200;
+// Interim answers and late ones to earlier requests that are read past. A
+// server that sends more does not end.
+constexpr int kMostStrayAnswers = 8;
+
 http::request<http::string_body> ToBeast(const HttpRequest& from,
                                          std::string_view host) {
   constexpr unsigned kHttp11 = 11;
@@ -86,7 +92,8 @@
 // Connection ----------------------------------------------------------------
 
 struct HttpClient::Connection {
-  explicit Connection(boost::asio::io_context& io) : stream(io) {}
+  explicit Connection(boost::asio::io_context& io)
+      : stream(io), buffer(kMostUnparsedBytes) {}
 
   // False when the server closed it, or sent what nobody asked for.
   bool StillStands() {
@@ -222,12 +229,20 @@
         written.value > 0,
         "cannot send to " + this->host + ": " + written.error.message()});
   }
-  auto answer = this->ReadAnswer(connection, request.method == "HEAD");
-  while (answer && exchange.belongs && !exchange.belongs(*answer) &&
-         connection.reusable) {
-    answer = this->ReadAnswer(connection, request.method == "HEAD");
+  for (int strays = 0; strays <= kMostStrayAnswers; ++strays) {
+    auto answer = this->ReadAnswer(connection, request.method == "HEAD");
+    const bool ours = answer && answer->status >= kFirstFinalStatus &&
+                      (!exchange.belongs || exchange.belongs(*answer));
+    if (!answer || ours) {
+      return answer;
+    }
+    if (!connection.reusable) {
+      break;
+    }
   }
-  return answer;
+  connection.reusable = false;
+  return tl::unexpected(
+      HttpError{true, "only answers to other requests from " + this->host});
 }
 
 tl::expected<HttpResponse, HttpError> HttpClient::ReadAnswer(
--- a/src/adapters/http_message.h
+++ b/src/adapters/http_message.h
@@ -4,12 +4,18 @@
 #ifndef TANAGERLEDGE_SRC_ADAPTERS_HTTP_MESSAGE_H_
 #define TANAGERLEDGE_SRC_ADAPTERS_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace tanagerledge {
 
+// Bound of what a connection holds before it is parsed: the lines between
+// chunks and a trailer, and one read of a body. Beast alone would keep a line
+// of any length there.
+inline constexpr std::size_t kMostUnparsedBytes = 64 * 1024;
+
 struct HttpHeader {
   std::string name;
   std::string value;
--- a/tests/log/http_client_test.cc
+++ b/tests/log/http_client_test.cc
@@ -188,5 +188,104 @@
   });
 }
 
+// A faulty server: bytes without end, until the client closes.
+struct EndlessAnswer {
+  const char* name;
+  std::string begin;
+  std::string again;
+};
+
+class EndlessAnswerTest : public HttpClientTest,
+                          public testing::WithParamInterface<EndlessAnswer> {
+ protected:
+  void ServeEndless() {
+    this->loop.Spawn([this] {
+      tcp::socket socket(this->loop.context());
+      if (AwaitError([&](auto handler) {
+            this->acceptor.async_accept(socket, std::move(handler));
+          })) {
+        return;
+      }
+      std::string out = GetParam().begin;
+      constexpr std::size_t kBurst = 16 * 1024;
+      while (out.size() < kBurst) {
+        out += GetParam().again;
+      }
+      const std::string more = out.substr(GetParam().begin.size());
+      while (this->Write(socket, out)) {
+        out = more;
+      }
+      this->client_closed = true;
+    });
+  }
+
+  bool Write(tcp::socket& socket, const std::string& bytes) {
+    const auto written = Await<std::size_t>([&](auto handler) {
+      boost::asio::async_write(socket, boost::asio::buffer(bytes),
+                               std::move(handler));
+    });
+    this->sent += written.value;
+    return !written.error;
+  }
+
+  std::size_t sent = 0;
+  bool client_closed = false;
+};
+
+TEST_P(EndlessAnswerTest, BytesWithoutEnd_AreCutAtTheLimitsNotAtTheTimeout) {
+  constexpr std::size_t kLimit = 64 * 1024;
+  this->ServeEndless();
+  this->WithClient(
+      [&](HttpClient& client) {
+        ExchangeOptions exchange;
+        exchange.belongs = [](const HttpResponse& answer) {
+          return answer.Header("For").empty();
+        };
+        const auto began = std::chrono::steady_clock::now();
+        const auto response = client.Send(kGet, seconds(10), exchange);
+        const auto took = std::chrono::steady_clock::now() - began;
+        ASSERT_FALSE(response.has_value());
+        EXPECT_TRUE(response.error().may_have_arrived);
+        EXPECT_LT(took, seconds(2));
+        this->loop.SleepFor(milliseconds(50));
+        EXPECT_TRUE(this->client_closed);
+      },
+      {.max_body_bytes = kLimit});
+  // Beside the limits, what the sockets of both sides hold.
+  EXPECT_LT(this->sent, 16U * 1024 * 1024);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Servers,
+    EndlessAnswerTest,
+    testing::Values(
+        EndlessAnswer{"Noise", "", "\x01\x02nonsense"},
+        EndlessAnswer{"EmptyLines", "", "\r\n"},
+        EndlessAnswer{"StatusLine", "HTTP/1.1 200 ", "aaaaaaaa"},
+        EndlessAnswer{"HeaderLine", "HTTP/1.1 200 OK\r\nA: ", "aaaaaaaa"},
+        EndlessAnswer{"Headers", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+        EndlessAnswer{"InterimAnswers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        EndlessAnswer{"AnswersToOthers", "",
+                      "HTTP/1.1 200 OK\r\nFor: x\r\nContent-Length: "
+                      "0\r\n\r\n"},
+        EndlessAnswer{"BodyUntilClose", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa"},
+        EndlessAnswer{"Chunks",
+                      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                      "4\r\naaaa\r\n"},
+        EndlessAnswer{"ChunkSize",
+                      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                      "00000000"},
+        EndlessAnswer{
+            "ChunkExtension",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=",
+            "aaaaaaaa"},
+        EndlessAnswer{
+            "Trailer",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            "A: b\r\n"}),
+    [](const testing::TestParamInfo<EndlessAnswer>& answer) {
+      return answer.param.name;
+    });
+
 }  // namespace
 }  // namespace tanagerledge
