--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -178,6 +178,8 @@
   http::request_parser<http::string_body> parser;
   parser.body_limit(this->limits.max_body_bytes);
   parser.header_limit(this->limits.max_header_bytes);
+  connection.buffer.max_size(this->limits.max_header_bytes +
+                             kMostUnparsedBytes);
   connection.stream.expires_after(this->limits.idle_timeout);
   const auto header = Await<std::size_t>([&](auto done) {
     http::async_read_header(connection.stream, connection.buffer, parser,
