Soak: back ends leave, suddenly and with notice, and late heartbeats arrive

Beside the other faults, back ends now leave, half of them as their node comes back from a kill; one of their earlier heartbeats arrives late, and the next start may have the same name. The judge: no request reaches a back end later than drain_ms after the acknowledgement, unless its link was harmed in the last 3 s.

--- a/soak/back_end.cc
+++ b/soak/back_end.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/http_client.h"
 
 namespace tanagerledge::soak {
@@ -14,6 +15,10 @@
 
 constexpr milliseconds kBeat{300};
 constexpr milliseconds kBeatTimeout{1000};
+// From the acknowledgement of a leave to the last request, by the settings.
+constexpr milliseconds kDrain{2000};
+// What a harmed link held back may still come.
+constexpr milliseconds kLinkForgiven{3000};
 constexpr int kSlots = 8;
 constexpr int kLeastWorkMs = 5;
 constexpr int kMostWorkMs = 80;
@@ -67,6 +72,11 @@
   }
 }
 
+void Ledger::CameAfterLeave(const std::string& id, milliseconds late) {
+  this->faults.push_back(id + " came " + std::to_string(late.count()) +
+                         " ms after the leave was acknowledged");
+}
+
 std::vector<std::string> Ledger::Faults() const {
   std::vector<std::string> all = this->faults;
   std::ranges::for_each(this->attempts, [&all](const auto& entry) {
@@ -113,18 +123,70 @@
 }
 
 void BackEnd::StartAnew() {
-  this->instance = this->service + "-" + this->proxy->address() + "-" +
-                   std::to_string(++this->starts);
+  ++this->starts;
+  const bool keeps_name = this->leaving && this->leaving->keeps_name;
+  if (!keeps_name) {
+    this->instance = this->service + "-" + this->proxy->address() + "-" +
+                     std::to_string(this->starts);
+  }
   this->beats = 0;
+  this->born_ms = static_cast<std::int64_t>(NewIncarnation().value);
+  this->leaving.reset();
+  this->acknowledged.reset();
+}
+
+void BackEnd::RunLeave(const Leave& leave) {
+  if (this->leaving) {
+    return;
+  }
+  const int start = this->starts;
+  const std::string late = this->last_ready;
+  const Instant began = Now();
+  this->leaving = leave;
+  this->TellLeave();
+  this->loop.SleepFor(began + leave.late_beat_after - Now());
+  if (this->starts == start && !late.empty()) {
+    this->Tell("PUT", late);
+  }
+  this->loop.SleepFor(began + leave.stays - Now());
+  if (this->starts == start) {
+    this->Tell("DELETE", "");
+    this->StartAnew();
+  }
+}
+
+// Says that it goes and keeps the time of the first acknowledgement.
+void BackEnd::TellLeave() {
+  const int start = this->starts;
+  const bool told = this->leaving->sudden
+                        ? this->Tell("DELETE", "")
+                        : this->Tell("PUT", this->BeatBody("draining"));
+  if (told && this->starts == start && !this->acknowledged) {
+    this->acknowledged = Now();
+  }
 }
 
 bool BackEnd::Draw(double chance) {
   return std::bernoulli_distribution(chance)(this->random);
 }
 
+void BackEnd::CheckLeave(const std::string& id) {
+  if (!this->acknowledged || this->proxy->Harmed(kLinkForgiven)) {
+    return;
+  }
+  const auto since =
+      std::chrono::duration_cast<milliseconds>(Now() - *this->acknowledged);
+  if (since > kDrain) {
+    this->ledger.CameAfterLeave(id, since);
+  }
+}
+
 std::optional<HttpResponse> BackEnd::Answer(const HttpRequest& request) {
   HttpResponse response = MakeResponse(kOk, "text/plain", "well");
   if (request.Path() == "/health") {
+    if (this->leaving) {
+      return MakeResponse(kUnavailable, "text/plain", "");
+    }
     response.headers.push_back({"X-Instance-Id", this->instance});
     return response;
   }
@@ -132,6 +194,7 @@
   if (request.Header("X-Expect-Instance") != this->instance) {
     return MakeResponse(kMisdirected, "text/plain", "");
   }
+  this->CheckLeave(id);
   if (this->moody && this->Draw(kMoodShare)) {
     HttpResponse refusal = MakeResponse(kUnavailable, "text/plain", "");
     refusal.headers.push_back({"X-Not-Executed", "1"});
@@ -151,19 +214,32 @@
 }
 
 void BackEnd::Beat() {
-  HttpRequest beat;
-  beat.method = "PUT";
-  beat.target = "/instances/" + this->instance;
-  beat.body =
-      nlohmann::json{
-          {"service", this->service},  {"address", this->proxy->address()},
-          {"slots", kSlots},           {"state", "ready"},
-          {"sequence", ++this->beats}, {"born", this->starts}}
-          .dump();
+  if (!this->leaving) {
+    this->last_ready = this->BeatBody("ready");
+    // A node that is down or stopped misses a beat; the next one tells it all.
+    this->Tell("PUT", std::string(this->last_ready));
+  } else if (!this->leaving->sudden || !this->acknowledged) {
+    this->TellLeave();
+  }
+}
+
+std::string BackEnd::BeatBody(const char* state) {
+  return nlohmann::json{
+      {"service", this->service},  {"address", this->proxy->address()},
+      {"slots", kSlots},           {"state", state},
+      {"sequence", ++this->beats}, {"born", this->born_ms}}
+      .dump();
+}
+
+bool BackEnd::Tell(const char* method, const std::string& body) {
+  HttpRequest word;
+  word.method = method;
+  word.target = "/instances/" + this->instance;
+  word.body = body;
   HttpClient client(this->loop, ParseAddress(this->admin_address).value());
-  // A node that is down or stopped misses a beat; the next one tells it all.
-  static_cast<void>(client.Send(beat, kBeatTimeout));
+  const auto answer = client.Send(word, kBeatTimeout);
   client.Close();
+  return answer && answer->status == kOk;
 }
 
 void BackEnd::Close() {
--- a/soak/back_end.h
+++ b/soak/back_end.h
@@ -4,14 +4,18 @@
 #ifndef TANAGERLEDGE_SOAK_BACK_END_H_
 #define TANAGERLEDGE_SOAK_BACK_END_H_
 
+#include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
 #include "soak/proxy.h"
 #include "src/adapters/http_message.h"
 #include "src/adapters/http_server.h"
+#include "tanagerledge/types.h"
 
 namespace tanagerledge::soak {
 
@@ -21,6 +25,8 @@
   void Asked(const std::string& id, bool repeatable, const std::string& caller);
   void Ran(const HttpRequest& request);
   void Answered(const std::string& id, const HttpResponse& answer);
+  // A request reached a back end so long after its leave was acknowledged.
+  void CameAfterLeave(const std::string& id, std::chrono::milliseconds late);
 
   // Each broken promise, in a line.
   std::vector<std::string> Faults() const;
@@ -51,12 +57,26 @@
   // A crash and a new start at the same address, under another name.
   void StartAnew();
   void SetMoody(bool next) { this->moody = next; }
+
+  // Says that it goes, suddenly or by heartbeats that say so, stays on, and is
+  // replaced. One of its earlier heartbeats arrives late meanwhile. Waits.
+  struct Leave {
+    bool sudden = false;
+    bool keeps_name = false;  // The next start has the same one.
+    std::chrono::milliseconds stays{0};
+    std::chrono::milliseconds late_beat_after{0};
+  };
+  void RunLeave(const Leave& leave);
   Proxy& link() { return *this->proxy; }
   void Close();
 
  private:
   std::optional<HttpResponse> Answer(const HttpRequest& request);
+  void CheckLeave(const std::string& id);
   void Beat();
+  std::string BeatBody(const char* state);
+  bool Tell(const char* method, const std::string& body);
+  void TellLeave();
   bool Draw(double chance);
 
   IoLoop& loop;
@@ -69,6 +89,10 @@
   std::string instance;
   int starts = 0;
   int beats = 0;
+  std::int64_t born_ms = 0;
+  std::string last_ready;  // Body of the last heartbeat before a leave.
+  std::optional<Leave> leaving;
+  std::optional<Instant> acknowledged;  // The leave, by the node.
   bool moody = false;  // Refuses some requests and loses some answers.
   bool closed = false;
 };
--- a/soak/proxy.cc
+++ b/soak/proxy.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "src/adapters/clock.h"
+
 namespace tanagerledge::soak {
 namespace {
 
@@ -106,7 +108,14 @@
   reset(link.far);
 }
 
+bool Proxy::Harmed(std::chrono::milliseconds lately) const {
+  return this->fault != LinkFault::kNone || Now() - this->healed < lately;
+}
+
 void Proxy::Set(LinkFault next) {
+  if (this->fault != LinkFault::kNone && next == LinkFault::kNone) {
+    this->healed = Now();
+  }
   this->fault = next;
   if (next == LinkFault::kReset) {
     std::ranges::for_each(this->links,
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -11,6 +11,7 @@
 
 #include "src/adapters/fiber_io.h"
 #include "src/adapters/net.h"
+#include "tanagerledge/types.h"
 
 namespace tanagerledge::soak {
 
@@ -30,6 +31,8 @@
   // Where to connect instead of the server.
   const std::string& address() const { return this->own_address; }
   void Set(LinkFault next);
+  // Whether bytes may be late: a fault is in force, or was of late.
+  bool Harmed(std::chrono::milliseconds lately) const;
   void Close();
 
  private:
@@ -52,6 +55,7 @@
   boost::asio::ip::tcp::acceptor acceptor;
   std::set<LinkPtr> links;
   LinkFault fault = LinkFault::kNone;
+  Instant healed{};
   bool closed = false;
 };
 
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -58,6 +58,7 @@
   explicit Soak(SoakOptions soak_options)
       : options(std::move(soak_options)),
         fault_random(this->options.seed),
+        leave_random(this->options.seed),
         other_random(this->options.seed),
         store(this->loop) {}
 
@@ -85,7 +86,9 @@
       this->loop.Spawn([this, &place] { this->CallOn(*place); });
     });
     this->loop.SleepFor(seconds(2));
-    this->MakeTrouble(Now() + this->options.length);
+    const Instant until = Now() + this->options.length;
+    this->loop.SpawnHere([this, until] { this->MakeLeaves(until); });
+    this->MakeTrouble(until);
     this->loop.SleepFor(kRecovery);
     this->CheckRecovered();
     this->ending = true;
@@ -252,6 +255,34 @@
     }
   }
 
+  // Back ends that leave, beside the other faults. A node that is killed about
+  // then starts when it knows nothing of the back end.
+  void MakeLeaves(Instant until) {
+    const auto between = [this](int least, int most) {
+      return Draw(this->leave_random, least, most);
+    };
+    while (Now() < until) {
+      Place& place = *this->places[between(0, this->options.nodes - 1)];
+      BackEnd::Leave leave;
+      leave.sudden = between(0, 1) == 0;
+      leave.keeps_name = between(0, 3) == 0;
+      leave.stays = milliseconds(between(2500, 6000));
+      leave.late_beat_after = milliseconds(between(100, 3000));
+      const bool restarts = between(0, 1) == 0;
+      const milliseconds restarted_before(between(0, 600));
+      ++this->under_way;
+      this->loop.SpawnHere([this, &place, leave, restarts, restarted_before] {
+        if (restarts) {
+          place.process->Signal(SIGKILL);
+          this->loop.SleepFor(restarted_before);
+        }
+        place.back_end->RunLeave(leave);
+        --this->under_way;
+      });
+      this->loop.SleepFor(milliseconds(between(500, 2000)));
+    }
+  }
+
   void Kill(Place& place, milliseconds) { place.process->Signal(SIGKILL); }
 
   void Stop(Place& place, milliseconds) {
@@ -387,6 +418,7 @@
   // Apart, so that the faults of a seed do not depend on how many calls and
   // restarts fell between them.
   std::mt19937_64 fault_random;
+  std::mt19937_64 leave_random;
   std::mt19937_64 other_random;
   IoLoop loop;
   LogStore store;
