Only cancels of the sidecar are put in order; other messages as before

So messages in fibers are the likely cause; why is not traced. The transport is as it was before, and the sidecar's handler defers its cancels itself.

--- a/include/tanagerledge/ports.h
+++ b/include/tanagerledge/ports.h
@@ -57,8 +57,7 @@
 
   virtual ~PeerPort() = default;
 
-  // Sends one way, best effort. Never waits. Its handler begins after those of
-  // all that was sent before it on the same connection.
+  // Sends one way, best effort. Never waits.
   virtual void Send(const NodeId& to, Channel channel, std::string message) = 0;
 
   // Sends a request and waits for its reply.
--- a/src/adapters/peer_transport.cc
+++ b/src/adapters/peer_transport.cc
@@ -420,14 +420,9 @@
   void TakeMessage(const Frame& frame) {
     const auto& handler =
         this->transport.handlers.on_message[Index(frame.channel)];
-    if (!handler) {
-      return;
+    if (handler) {
+      handler(this->peer, frame.payload);
     }
-    // In a fiber like a request, so that it is taken after those before it.
-    this->transport.loop.SpawnHere([self = this->shared_from_this(), &handler,
-                                    message = std::string(frame.payload)] {
-      handler(self->peer, message);
-    });
   }
 
   // Ending ------------------------------------------------------------------
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -251,7 +251,9 @@
   all.on_message[index(Channel::kSend)] = [this](const NodeId& from,
                                                  std::string_view bytes) {
     if (const auto cancel = Decode<wire::SendCancel>(bytes)) {
-      this->owner.Cancel(from, cancel->send_id);
+      // After the fiber of its call, which may have come in the same read.
+      this->loop.SpawnHere(
+          [this, from, id = cancel->send_id] { this->owner.Cancel(from, id); });
     }
   };
   all.on_request[index(Channel::kConfig)] = [this](const NodeId&,
