Logs and metrics tell of requests that end without an answer

- `unanswered`: a request that was read whole and whose connection ended without a whole answer, with its id, the stage (caller left, no answer, writing), the error, its age and whether the node stops.
- `closing idle connections` and `closing connections`: what open connections were doing at that moment, unread bytes included.
- tanagerledge_unanswered_total; callers that left by themselves aside.
- Lines written while the node ends are flushed after the loop has ended.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -1,5 +1,6 @@
 #include "src/adapters/http_server.h"
 
+#include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
@@ -10,6 +11,8 @@
 #include <string>
 #include <utility>
 
+#include "src/adapters/clock.h"
+
 namespace tanagerledge {
 
 namespace beast = boost::beast;
@@ -90,9 +93,18 @@
     return error != boost::asio::error::would_block && (error || read == 0);
   }
 
+  bool HasUnreadBytes() {
+    error_code error;
+    return this->stream.socket().available(error) > 0 && !error;
+  }
+
+  enum class Phase { kIdle, kReading, kHandling, kWriting };
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  bool idle = true;  // Between requests: may be closed without loss.
+  Phase phase = Phase::kIdle;  // Idle: may be closed without loss.
+  Instant read_at{};           // The last request, whole.
+  bool caller_left = false;
 };
 
 HttpServer::HttpServer(IoLoop& io_loop,
@@ -148,7 +160,7 @@
 
 void HttpServer::CloseIdle() {
   for (const auto& connection : this->connections) {
-    if (connection->idle) {
+    if (connection->phase == Connection::Phase::kIdle) {
       connection->Close();
     }
   }
@@ -174,7 +186,7 @@
 // One request and its answer; false when the connection is to end.
 bool HttpServer::ServeOne(const std::shared_ptr<Connection>& held) {
   Connection& connection = *held;
-  connection.idle = true;
+  connection.phase = Connection::Phase::kIdle;
   http::request_parser<http::string_body> parser;
   parser.body_limit(this->limits.max_body_bytes);
   parser.header_limit(this->limits.max_header_bytes);
@@ -188,7 +200,7 @@
   if (!header) {
     return false;
   }
-  connection.idle = false;
+  connection.phase = Connection::Phase::kReading;
   connection.stream.expires_after(this->limits.read_timeout);
   const auto body = Await<std::size_t>([&](auto done) {
     http::async_read(connection.stream, connection.buffer, parser,
@@ -201,10 +213,14 @@
   const unsigned version = parser.get().version();
   const bool keep_alive = parser.get().keep_alive();
   const HttpRequest request = FromBeast(parser.release());
+  connection.phase = Connection::Phase::kHandling;
+  connection.read_at = Now();
   std::optional<HttpResponse> answer = this->Answer(held, request);
   if (!answer) {
+    this->TellUnanswered(connection, request, Unanswered::Stage::kNoAnswer);
     return false;
   }
+  connection.phase = Connection::Phase::kWriting;
   BeastResponse response =
       ToBeast(std::move(*answer), version,
               keep_alive && !this->draining && !this->closing);
@@ -212,9 +228,49 @@
   const auto written = Await<std::size_t>([&](auto done) {
     http::async_write(connection.stream, response, std::move(done));
   });
+  if (!written) {
+    this->TellUnanswered(connection, request, Unanswered::Stage::kWriting,
+                         written.error.message());
+  }
   return written && response.keep_alive();
 }
 
+void HttpServer::TellUnanswered(const Connection& connection,
+                                const HttpRequest& request,
+                                Unanswered::Stage stage,
+                                std::string error) const {
+  if (!this->on_unanswered) {
+    return;
+  }
+  Unanswered what;
+  what.stage = connection.caller_left ? Unanswered::Stage::kCallerLeft : stage;
+  what.since_read = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Now() - connection.read_at);
+  what.error = std::move(error);
+  this->on_unanswered(request, what);
+}
+
+HttpServer::Occupancy HttpServer::Occupied() const {
+  Occupancy all;
+  std::ranges::for_each(this->connections, [&all](const auto& connection) {
+    switch (connection->phase) {
+      case Connection::Phase::kIdle:
+        ++(connection->HasUnreadBytes() ? all.unread : all.idle);
+        break;
+      case Connection::Phase::kReading:
+        ++all.reading;
+        break;
+      case Connection::Phase::kHandling:
+        ++all.handling;
+        break;
+      case Connection::Phase::kWriting:
+        ++all.writing;
+        break;
+    }
+  });
+  return all;
+}
+
 // Runs the handler, and watches the connection meanwhile if it wants to know.
 std::optional<HttpResponse> HttpServer::Answer(
     const std::shared_ptr<Connection>& connection,
@@ -235,6 +291,7 @@
   error_code ignored;
   connection->stream.socket().cancel(ignored);
   if (departure->left()) {
+    connection->caller_left = true;
     return std::nullopt;
   }
   return answer;
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 
 namespace tanagerledge {
 
@@ -41,6 +42,19 @@
   std::function<void()> on_leave;
 };
 
+// A request that was read whole and whose connection ended without a whole
+// answer.
+struct Unanswered {
+  enum class Stage {
+    kCallerLeft,  // The caller closed its connection first.
+    kNoAnswer,    // The handler gave none.
+    kWriting,     // The answer was ready; its write failed.
+  };
+  Stage stage = Stage::kNoAnswer;
+  std::chrono::milliseconds since_read{0};
+  std::string error;  // Of the write.
+};
+
 class HttpServer {
  public:
   // Answers one request; runs in the connection's fiber and may wait. Nothing
@@ -52,6 +66,19 @@
       std::function<std::optional<HttpResponse>(const HttpRequest&,
                                                 Departure&)>;
 
+  // Told of each request that ends without an answer; must not wait.
+  using UnansweredObserver =
+      std::function<void(const HttpRequest&, const Unanswered&)>;
+
+  // What open connections are doing.
+  struct Occupancy {
+    std::size_t idle = 0;
+    std::size_t unread = 0;   // Of the idle: bytes have come and were not read.
+    std::size_t reading = 0;  // Some of a request has been read.
+    std::size_t handling = 0;
+    std::size_t writing = 0;
+  };
+
   HttpServer(IoLoop& loop, Handler handler, HttpLimits limits = {});
   HttpServer(IoLoop& loop, WatchfulHandler handler, HttpLimits limits = {});
   ~HttpServer();
@@ -77,6 +104,11 @@
   void Close();
 
   std::size_t open_connections() const { return this->connections.size(); }
+  Occupancy Occupied() const;
+
+  void OnUnanswered(UnansweredObserver observer) {
+    this->on_unanswered = std::move(observer);
+  }
 
  private:
   struct Connection;
@@ -86,10 +118,15 @@
   std::optional<HttpResponse> Answer(
       const std::shared_ptr<Connection>& connection,
       const HttpRequest& request);
+  void TellUnanswered(const Connection& connection,
+                      const HttpRequest& request,
+                      Unanswered::Stage stage,
+                      std::string error = {}) const;
 
   IoLoop& loop;
   Handler handler;  // One of the two is set.
   WatchfulHandler watchful_handler;
+  UnansweredObserver on_unanswered;
   HttpLimits limits;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   std::set<std::shared_ptr<Connection>> connections;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -89,6 +89,18 @@
   }
 }
 
+std::string_view ToText(Unanswered::Stage stage) {
+  switch (stage) {
+    case Unanswered::Stage::kCallerLeft:
+      return "caller left";
+    case Unanswered::Stage::kNoAnswer:
+      return "no answer";
+    case Unanswered::Stage::kWriting:
+      return "writing";
+  }
+  return "";
+}
+
 Heartbeat HeartbeatOf(const wire::NodeRecord& record) {
   Heartbeat heartbeat;
   heartbeat.instance = record.instance;
@@ -177,6 +189,10 @@
                                                          this->shown.Scrape()));
                      })),
       started(Now()) {
+  this->front.OnUnanswered(
+      [this](const HttpRequest& request, const Unanswered& what) {
+        this->LogUnanswered(request, what);
+      });
   this->ShowMetrics();
 }
 
@@ -507,6 +523,34 @@
   return MakeResponse(kOk, "application/json", "{}");
 }
 
+// Callers ---------------------------------------------------------------------
+
+void Sidecar::LogUnanswered(const HttpRequest& request,
+                            const Unanswered& what) {
+  if (what.stage != Unanswered::Stage::kCallerLeft) {
+    ++this->unanswered;
+  }
+  const auto caller = this->platform.ReadCaller(request);
+  this->events.Write("unanswered",
+                     {{"id", caller ? caller->attempt_id : std::string()},
+                      {"stage", ToText(what.stage)},
+                      {"error", what.error},
+                      {"since_read_ms", what.since_read.count()},
+                      {"stopping", std::int64_t{this->stopping}}});
+}
+
+void Sidecar::LogConnections(std::string_view event) {
+  const HttpServer::Occupancy now = this->front.Occupied();
+  const auto count = [](std::size_t value) {
+    return static_cast<std::int64_t>(value);
+  };
+  this->events.Write(event, {{"idle", count(now.idle)},
+                             {"unread", count(now.unread)},
+                             {"reading", count(now.reading)},
+                             {"handling", count(now.handling)},
+                             {"writing", count(now.writing)}});
+}
+
 // Readiness -------------------------------------------------------------------
 
 bool Sidecar::IsReady() const {
@@ -550,6 +594,10 @@
        [this] { return this->peer_counters.connects.load(); });
   show("tanagerledge_call_bytes_total", "Bytes of calls sent to nodes.",
        [this] { return this->BytesSent(Channel::kCall); });
+  show("tanagerledge_unanswered_total",
+       "Requests read whole whose connection ended without a whole answer, "
+       "though their callers had not left.",
+       [this] { return this->unanswered; });
   show("tanagerledge_log_lines_dropped_total", "Log lines over the limit.",
        [this] { return this->events.dropped(); });
 }
@@ -572,6 +620,7 @@
 void Sidecar::Shutdown() {
   this->loop.Spawn([this] { this->RunShutdown(); });
   this->loop.Join();
+  this->events.Flush();
 }
 
 void Sidecar::RunShutdown() {
@@ -598,6 +647,7 @@
   // what it runs.
   this->entry.RefuseCallers();
   this->front.CloseAfterAnswer();
+  this->LogConnections("closing idle connections");
   this->front.CloseIdle();
   while (in_progress() > 0 && Now() < until) {
     this->loop.SleepFor(kShutdownStep);
@@ -606,6 +656,7 @@
   this->front.Drain();
   this->loop.SleepFor(kLastAnswers);
   this->membership.Leave();
+  this->LogConnections("closing connections");
   this->events.Write(
       "stopped",
       {{"calls", static_cast<std::int64_t>(in_progress())},
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -66,6 +66,8 @@
   void KeepConnections();
   std::int64_t BytesSent(Channel channel) const;
   void LogTraffic();
+  void LogUnanswered(const HttpRequest& request, const Unanswered& what);
+  void LogConnections(std::string_view event);
   void OnMembers(const std::vector<Member>& members);
   void TellBackEnd();
   std::optional<HttpResponse> OnBackEndWord(const HttpRequest& request);
@@ -106,6 +108,7 @@
   bool confirming = false;            // The back end is being asked.
   const Instant started;  // For the logs: how long this start has lived.
   bool stopping = false;
+  std::uint64_t unanswered = 0;  // Requests; those of callers that left aside.
   // What the fleet was told last of the back end.
   EndpointState told_state = EndpointState::kGone;
   std::string told_instance;
--- /dev/null
+++ b/tests/adapters/unanswered_request_test.cc
@@ -0,0 +1,89 @@
+// What the HTTP server tells of requests that end without an answer.
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/adapters/http_server.h"
+
+namespace tanagerledge {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+class UnansweredRequestTest : public testing::Test {
+ protected:
+  // Sends one request, waits, and runs `end`; what the server tells of it.
+  std::vector<Unanswered::Stage> Send(
+      const HttpServer::WatchfulHandler& handler,
+      const std::function<void(HttpServer&, tcp::socket&)>& end) {
+    std::vector<Unanswered::Stage> told;
+    HttpServer server(this->loop, handler);
+    server.OnUnanswered([&](const HttpRequest&, const Unanswered& what) {
+      told.push_back(what.stage);
+    });
+    const auto bound = server.Accept(*ParseAddress("127.0.0.1:0"));
+    EXPECT_TRUE(bound.has_value());
+    this->loop.Spawn([&] {
+      tcp::socket socket(this->loop.context());
+      socket.connect(*bound);
+      const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+      boost::asio::write(socket, boost::asio::buffer(request));
+      this->loop.SleepFor(milliseconds(50));
+      end(server, socket);
+      this->loop.SleepFor(milliseconds(200));
+      this->open_at_end = server.Occupied();
+      server.Close();
+      this->loop.Stop();
+    });
+    this->loop.Run();
+    return told;
+  }
+
+  std::optional<HttpResponse> AnswerLate() {
+    this->loop.SleepFor(milliseconds(100));
+    return MakeResponse(200, "a/b", "late");
+  }
+
+  IoLoop loop;
+  HttpServer::Occupancy open_at_end;
+};
+
+TEST_F(UnansweredRequestTest, AnsweredRequest_NothingIsTold) {
+  const auto told = this->Send(
+      [this](const HttpRequest&, Departure&) { return this->AnswerLate(); },
+      [](HttpServer&, tcp::socket&) {});
+  EXPECT_TRUE(told.empty());
+  EXPECT_EQ(this->open_at_end.idle, 1U);
+}
+
+TEST_F(UnansweredRequestTest, CallerClosesFirst_IsTheCallersLeaving) {
+  const auto told = this->Send(
+      [this](const HttpRequest&, Departure&) { return this->AnswerLate(); },
+      [](HttpServer&, tcp::socket& socket) { socket.close(); });
+  EXPECT_EQ(told, std::vector{Unanswered::Stage::kCallerLeft});
+}
+
+TEST_F(UnansweredRequestTest, ServerClosesAmidACall_IsAWriteThatFailed) {
+  const auto told = this->Send(
+      [this](const HttpRequest&, Departure&) { return this->AnswerLate(); },
+      [](HttpServer& server, tcp::socket&) { server.Close(); });
+  EXPECT_EQ(told, std::vector{Unanswered::Stage::kWriting});
+}
+
+TEST_F(UnansweredRequestTest, HandlerWithoutAnAnswer_IsTold) {
+  const auto told =
+      this->Send([](const HttpRequest&,
+                    Departure&) { return std::optional<HttpResponse>(); },
+                 [](HttpServer&, tcp::socket&) {});
+  EXPECT_EQ(told, std::vector{Unanswered::Stage::kNoAnswer});
+}
+
+}  // namespace
+}  // namespace tanagerledge
