--- a/benchmarks/execution_benchmark.cc
+++ b/benchmarks/execution_benchmark.cc
@@ -55,7 +55,8 @@
   const int calls = std::max(10, calls_per_second * kSeconds / kOncePartitions);
   const microseconds gap = microseconds(seconds(kSeconds)) / calls;
   for (int i = 0; i < calls; ++i) {
-    world.Send(world.NewCall(), world.Below(kNodes));
+    const std::size_t node = world.Below(kNodes);
+    world.Send(world.NewCall(), node);
     world.RunFor(gap);
   }
   world.RunFor(milliseconds(500));
