--- a/tests/distribution/distribution_property_test.cc
+++ b/tests/distribution/distribution_property_test.cc
@@ -134,7 +134,8 @@
   }
 
   void PauseOne() {
-    this->fleet.Pause(this->RandomNode(), milliseconds(this->random() % 9000));
+    const milliseconds time(this->random() % 9000);
+    this->fleet.Pause(this->RandomNode(), time);
   }
 
   void TurnLog() { this->fleet.log.down = !this->fleet.log.down; }
