Once tests: the back end of a quiet world refuses nothing, unless the test says so

What was seen: with the keys drawn the other way, OnceTest.LogSlow_CallsStayInTime had its tenth call unserved though it was decided in 2 us: the world's back end refuses one run in twenty at random, also in the worlds that are meant to be quiet.

Refusals have a test of their own: a refused run gives no outcome, and a repeat to another node runs once.

--- a/tests/execution/once_test.cc
+++ b/tests/execution/once_test.cc
@@ -26,6 +26,7 @@
   static OnceWorld::Options Quiet() {
     OnceWorld::Options options;
     options.skewed_clocks = false;
+    options.refusal = 0;
     return options;
   }
 
@@ -62,6 +63,19 @@
   EXPECT_EQ(this->world.calls[call].unknown, 0);
 }
 
+TEST_F(OnceTest, BackEndRefuses_RepeatRunsOnce) {
+  this->world.SetRefusal(1);
+  const std::size_t call = this->Call();
+  EXPECT_EQ(this->world.calls[call].tickets, 1);
+  EXPECT_EQ(this->world.calls[call].runs, 0);
+  EXPECT_FALSE(this->world.calls[call].answered);
+  this->world.SetRefusal(0);
+  this->world.Send(call, 2);
+  this->world.RunFor(seconds(1));
+  EXPECT_TRUE(this->IsServed(call));
+  EXPECT_EQ(this->world.calls[call].unknown, 0);
+}
+
 TEST_F(OnceTest, LogDown_CallsGoOnByTheDeputysPromise) {
   this->world.SetLog(LogState::kDown);
   EXPECT_TRUE(this->IsServed(this->Call()));
--- a/tests/execution/once_world.h
+++ b/tests/execution/once_world.h
@@ -50,6 +50,7 @@
     double loss = 0;          // Of messages between nodes.
     double append_loss = 0;   // Of answers to appends.
     double crash_in_run = 0;  // Of nodes while they run a call.
+    double refusal = 0.05;    // Of runs, by the back end.
     bool skewed_clocks = true;
   };
 
@@ -75,6 +76,7 @@
   // Faults -------------------------------------------------------------------
 
   void SetLog(LogState state) { this->log_state = state; }
+  void SetRefusal(double share) { this->options.refusal = share; }
   void Pause(std::size_t node, microseconds time) {
     this->nodes[node].paused_until = this->now + time;
   }
@@ -497,8 +499,8 @@
                     Instant run_by) {
     Node& node = this->nodes[index];
     const std::uint64_t life = node.life;
-    const bool is_refused =
-        this->TimeOf(node).now >= run_by || this->Chance() < 0.05;
+    const bool is_refused = this->TimeOf(node).now >= run_by ||
+                            this->Chance() < this->options.refusal;
     if (is_refused) {
       // The ticket itself says that no earlier attempt ran.
       this->false_answers += this->calls[which].runs > 0 ? 1 : 0;
