Answers, requests and frames cut at each byte: tests alone

An operator of a like system told of an endpoint that stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body. It does not happen here: these tests pass on the code as it was.

--- /dev/null
+++ b/tests/adapters/cut_request_test.cc
@@ -0,0 +1,163 @@
+// Requests that end early, at each byte, and such whose end is in doubt: only a
+// whole one is run.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+#include <vector>
+
+#include "src/adapters/http_server.h"
+
+namespace tanagerledge {
+namespace {
+
+using boost::asio::ip::tcp;
+
+enum class End { kFin, kReset };
+
+class RawCallerTest : public testing::Test {
+ protected:
+  RawCallerTest()
+      : server(this->loop,
+               HttpServer::WatchfulHandler([this](const HttpRequest& request,
+                                                  Departure&) {
+                 this->handled.push_back(request.method + " " + request.target +
+                                         " " + request.body);
+                 return std::optional(MakeResponse(200, "a/b", "answer"));
+               })) {}
+
+  // Sends the bytes on a connection of its own and returns what came back until
+  // the server closed it.
+  std::string SendAll(const std::string& bytes, End end = End::kFin) {
+    tcp::socket socket(this->loop.context());
+    socket.connect(this->bound);
+    boost::system::error_code ignored;
+    Await<std::size_t>([&](auto handler) {
+      boost::asio::async_write(socket, boost::asio::buffer(bytes),
+                               std::move(handler));
+    });
+    if (end == End::kReset) {
+      socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+      socket.close(ignored);
+      this->loop.SleepFor(std::chrono::milliseconds(1));
+      return {};
+    }
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+    std::string back;
+    Await<std::size_t>([&](auto handler) {
+      boost::asio::async_read(socket, boost::asio::dynamic_buffer(back),
+                              std::move(handler));
+    });
+    return back;
+  }
+
+  template <typename Work>
+  void WithServer(Work work) {
+    this->bound = *this->server.Accept(*ParseAddress("127.0.0.1:0"));
+    this->loop.Spawn([this, work] {
+      work();
+      this->server.Close();
+      this->loop.Stop();
+    });
+    this->loop.Run();
+  }
+
+  IoLoop loop;
+  HttpServer server;
+  tcp::endpoint bound;
+  std::vector<std::string> handled;
+};
+
+// Cuts ------------------------------------------------------------------------
+
+struct CutRequest {
+  const char* name;
+  std::string before;  // Whole requests on the same connection.
+  std::string bytes;
+};
+
+class CutRequestTest : public RawCallerTest,
+                       public testing::WithParamInterface<CutRequest> {};
+
+TEST_P(CutRequestTest, CallerEndsEarly_IsNotRun) {
+  const CutRequest& request = GetParam();
+  const std::size_t whole_ones = request.before.empty() ? 0 : 1;
+  this->WithServer([&] {
+    for (std::size_t sent = 0; sent < request.bytes.size(); ++sent) {
+      std::ranges::for_each(std::vector{End::kFin, End::kReset}, [&](End end) {
+        this->handled.clear();
+        const std::string cut = request.before + request.bytes.substr(0, sent);
+        this->SendAll(cut, end);
+        EXPECT_LE(this->handled.size(), whole_ones) << "cut after: " << cut;
+      });
+    }
+    this->handled.clear();
+    this->SendAll(request.bytes);
+    EXPECT_EQ(this->handled.size(), 1U);
+  });
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests,
+    CutRequestTest,
+    testing::Values(
+        CutRequest{"NoBody", "", "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"},
+        CutRequest{"Length", "",
+                   "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                   "12\r\n\r\ntwelve bytes"},
+        CutRequest{"Chunks", "",
+                   "PUT /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "3\r\nabc\r\n00a;e=f\r\n0123456789\r\n0\r\n\r\n"},
+        CutRequest{"ChunksWithTrailer", "",
+                   "PUT /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "2\r\nok\r\n0\r\nX-A: b\r\nX-C: d\r\n\r\n"},
+        CutRequest{"BehindAnother", "GET /w HTTP/1.1\r\nHost: a\r\n\r\n",
+                   "POST /x HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"}),
+    [](const testing::TestParamInfo<CutRequest>& request) {
+      return std::string(request.param.name);
+    });
+
+// Ends in doubt ---------------------------------------------------------------
+
+struct DoubtfulRequest {
+  const char* name;
+  std::string fields;
+};
+
+class DoubtfulRequestTest
+    : public RawCallerTest,
+      public testing::WithParamInterface<DoubtfulRequest> {};
+
+TEST_P(DoubtfulRequestTest, EndOfItsBodyIsInDoubt_NothingIsRun) {
+  const std::string within =
+      "5\r\nabcde\r\n0\r\n\r\nGET /inner HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::string alone = "GET /inner HTTP/1.1\r\nHost: a\r\n\r\n";
+  this->WithServer([&] {
+    std::ranges::for_each(std::vector{within, alone}, [&](const auto& body) {
+      this->SendAll("POST /x HTTP/1.1\r\n" + GetParam().fields + "\r\n" + body);
+      EXPECT_EQ(this->handled, std::vector<std::string>{});
+    });
+  });
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests,
+    DoubtfulRequestTest,
+    testing::Values(
+        DoubtfulRequest{"ChunksAndLength",
+                        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n"},
+        DoubtfulRequest{"TwoLengths",
+                        "Content-Length: 5\r\nContent-Length: 0\r\n"},
+        DoubtfulRequest{"LengthFolded", "Content-Length: 0\r\n 5\r\n"},
+        DoubtfulRequest{"LengthWithSign", "Content-Length: +5\r\n"},
+        DoubtfulRequest{"LengthNameSpaced", "Content-Length : 5\r\n"},
+        DoubtfulRequest{"LengthEndsInLf", "Content-Length: 5\n"}),
+    [](const testing::TestParamInfo<DoubtfulRequest>& request) {
+      return std::string(request.param.name);
+    });
+
+}  // namespace
+}  // namespace tanagerledge
--- a/tests/adapters/peer_transport_test.cc
+++ b/tests/adapters/peer_transport_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 #include <functional>
@@ -184,5 +185,53 @@
   EXPECT_EQ(this->server.counters.bad_frames.load(), 1u);
 }
 
+// What a sender wrote is sent again, cut at each byte.
+TEST_F(PeerTransportTest, ConnectionEndsInsideAFrame_ItsRequestIsNotRun) {
+  int handled = 0;
+  this->OnRequest([&handled](const NodeId&, std::string_view request) {
+    ++handled;
+    return std::string(request);
+  });
+  this->Run([&](const NodeId& to) {
+    using boost::asio::ip::tcp;
+    tcp::acceptor recorder(this->loop.context(), Loopback());
+    std::string bytes;
+    this->loop.SpawnHere([&] {
+      tcp::socket socket(this->loop.context());
+      AwaitError(
+          [&](auto done) { recorder.async_accept(socket, std::move(done)); });
+      Await<std::size_t>([&](auto done) {
+        boost::asio::async_read(socket, boost::asio::dynamic_buffer(bytes),
+                                std::move(done));
+      });
+    });
+    const NodeId silent{FormatAddress(recorder.local_endpoint())};
+    EXPECT_FALSE(this->Ask(silent, "request", milliseconds(100)).has_value());
+    this->client.transport->Close();
+    this->loop.SleepFor(milliseconds(20));
+    ASSERT_TRUE(bytes.ends_with("request"));
+    const auto send = [&](std::size_t sent, bool reset) {
+      tcp::socket socket(this->loop.context());
+      socket.connect(*ParseAddress(to.value));
+      const std::string part = bytes.substr(0, sent);
+      Await<std::size_t>([&](auto done) {
+        boost::asio::async_write(socket, boost::asio::buffer(part),
+                                 std::move(done));
+      });
+      socket.set_option(boost::asio::socket_base::linger(reset, 0));
+      socket.close();
+      this->loop.SleepFor(milliseconds(2));
+    };
+    for (std::size_t sent = 0; sent < bytes.size(); ++sent) {
+      send(sent, false);
+      send(sent, true);
+      EXPECT_EQ(handled, 0) << "after " << sent << " of " << bytes.size();
+    }
+    send(bytes.size(), false);
+    this->loop.SleepFor(milliseconds(50));
+    EXPECT_EQ(handled, 1);
+  });
+}
+
 }  // namespace
 }  // namespace tanagerledge
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -7,6 +7,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
 #include <functional>
@@ -95,12 +98,103 @@
   std::vector<HttpRequest> ran;
 };
 
+// A faulty back end: writes the bytes that it is told to and ends the
+// connection.
+class RawBackEnd {
+ public:
+  explicit RawBackEnd(IoLoop& io_loop)
+      : loop(io_loop),
+        acceptor(io_loop.context(), ParseAddress("127.0.0.1:0").value()),
+        address(FormatAddress(this->acceptor.local_endpoint())) {
+    this->loop.Spawn([this] {
+      while (!this->closed) {
+        const auto socket = std::make_shared<Socket>(this->loop.context());
+        if (!AwaitError([&](auto done) {
+              this->acceptor.async_accept(*socket, std::move(done));
+            })) {
+          this->loop.SpawnHere([this, socket] { this->Serve(*socket); });
+        }
+      }
+    });
+  }
+
+  void Close() {
+    this->closed = true;
+    this->acceptor.close();
+  }
+
+  void AnswerWith(std::string bytes, bool reset) {
+    const std::scoped_lock lock(this->mutex);
+    this->answer = std::move(bytes);
+    this->resets = reset;
+  }
+
+  int ran() const { return this->requests; }
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  void Serve(Socket& socket) {
+    std::string read;
+    if (ReadUntil(socket, read, "\r\n\r\n")) {
+      if (read.starts_with("GET /health ")) {
+        Write(socket,
+              "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Instance-Id: " +
+                  this->instance + "\r\nContent-Length: 0\r\n\r\n");
+      } else if (ReadUntil(socket, read, std::string("odd\0\xff", 5))) {
+        this->AnswerCall(socket);
+      }
+    }
+  }
+
+  static bool ReadUntil(Socket& socket,
+                        std::string& read,
+                        const std::string& end) {
+    return static_cast<bool>(Await<std::size_t>([&](auto done) {
+      boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(read),
+                                    end, std::move(done));
+    }));
+  }
+
+  static void Write(Socket& socket, const std::string& bytes) {
+    Await<std::size_t>([&](auto done) {
+      boost::asio::async_write(socket, boost::asio::buffer(bytes),
+                               std::move(done));
+    });
+  }
+
+  // The request was read whole: bytes left unread would reset by themselves.
+  void AnswerCall(Socket& socket) {
+    ++this->requests;
+    std::unique_lock lock(this->mutex);
+    const std::string bytes = this->answer;
+    const bool reset = this->resets;
+    lock.unlock();
+    Write(socket, bytes);
+    socket.set_option(boost::asio::socket_base::linger(reset, 0));
+    socket.close();
+  }
+
+  IoLoop& loop;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::atomic<bool> closed{false};
+  std::atomic<int> requests{0};
+  std::mutex mutex;
+  std::string answer;
+  bool resets = false;
+
+ public:
+  const std::string instance = "i-raw";
+  const std::string address;
+};
+
 class SidecarTest : public ::testing::Test {
  protected:
   SidecarTest()
       : store(this->stand_ins),
         first_back_end(this->stand_ins, "i-archive"),
-        second_back_end(this->stand_ins, "i-claims") {
+        second_back_end(this->stand_ins, "i-claims"),
+        raw_back_end(this->stand_ins) {
     this->store_address =
         "127.0.0.1:" + std::to_string(this->store.Listen(0).value());
     this->stand_ins.Start();
@@ -111,6 +205,7 @@
       sidecar->Shutdown();
     }
     this->stand_ins.Spawn([this] {
+      this->raw_back_end.Close();
       this->first_back_end.server.Close();
       this->second_back_end.server.Close();
       this->store.Close();
@@ -228,8 +323,9 @@
         [&] { return this->Call(entry, "claims.example").status == 200; });
   }
 
+  template <typename BackEnd>
   void Beat(const Settings& node,
-            const StandInBackEnd& back_end,
+            const BackEnd& back_end,
             const char* state = "ready") {
     HttpRequest request;
     request.method = "PUT";
@@ -280,6 +376,7 @@
   const platform::Platform platform{};
   StandInBackEnd first_back_end;
   StandInBackEnd second_back_end;
+  RawBackEnd raw_back_end;
   std::string store_address;
   std::vector<std::unique_ptr<Settings>> nodes;
   std::vector<std::unique_ptr<Sidecar>> sidecars;
@@ -522,5 +619,133 @@
   EXPECT_EQ(this->Call(archive, "archive.example").status, 200);
 }
 
+// Answers that end early ------------------------------------------------------
+
+struct CutAnswer {
+  const char* name;
+  const char* framing;  // The last field.
+  const char* rest;
+  const char* body;
+  bool ends_by_close = false;
+};
+
+class CutAnswerTest : public SidecarTest,
+                      public ::testing::WithParamInterface<CutAnswer> {
+ protected:
+  static std::string HeadFor(const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
+           "\r\nX-Server-Stamp: s.1\r\n" + GetParam().framing + "\r\n";
+  }
+
+  // What the caller must get of the whole answer's first `sent` bytes; empty
+  // when it is not to be a success.
+  static std::optional<std::string> Expected(std::size_t sent,
+                                             std::size_t head,
+                                             bool reset) {
+    const std::string rest = GetParam().rest;
+    if (GetParam().ends_by_close) {
+      return !reset && sent >= head ? std::optional(rest.substr(0, sent - head))
+                                    : std::nullopt;
+    }
+    return sent == head + rest.size() ? std::optional(GetParam().body)
+                                      : std::nullopt;
+  }
+
+  // Cuts the answers to calls of `host` at each byte.
+  void CutAtEachByte(const Settings& entry, const std::string& host) {
+    const std::size_t most =
+        HeadFor("c-0-000").size() + std::string_view(GetParam().rest).size();
+    int late = 0;
+    for (std::size_t sent = 0; sent <= most; ++sent) {
+      for (const bool reset : {false, true}) {
+        const std::string id = "c-" + std::to_string(int{reset}) + "-" +
+                               std::to_string(1000 + sent).substr(1);
+        const std::string head = HeadFor(id);
+        const std::string bytes = (head + GetParam().rest).substr(0, sent);
+        this->raw_back_end.AnswerWith(bytes, reset);
+        const int before = this->raw_back_end.ran();
+        const Instant began = std::chrono::steady_clock::now();
+        const HttpResponse answer =
+            this->Try(entry, host, id).value_or(HttpResponse{});
+        const auto took = std::chrono::steady_clock::now() - began;
+        late += took > seconds(1) ? 1 : 0;
+        const auto expected = Expected(sent, head.size(), reset);
+        EXPECT_EQ(this->raw_back_end.ran(), before + 1) << bytes;
+        if (expected) {
+          EXPECT_EQ(answer.status, 200) << bytes;
+          EXPECT_EQ(answer.body, *expected) << bytes;
+          EXPECT_EQ(answer.Header("X-Server-Stamp"), "s.1");
+        } else {
+          EXPECT_TRUE(answer.status == 502 || answer.status == 504)
+              << answer.status << " for: " << bytes;
+          EXPECT_EQ(answer.Header("X-Server-Stamp"), "");
+        }
+      }
+    }
+    // A busy machine may stall some.
+    EXPECT_LT(late, 5);
+  }
+
+  // True once a call of `host` reaches the raw back end.
+  bool Reaches(const Settings& entry, const std::string& host) {
+    return this->Eventually([&] {
+      this->Call(entry, host);
+      return this->raw_back_end.ran() > 0;
+    });
+  }
+};
+
+TEST_P(CutAnswerTest, BackEndBesideTheNodeEndsEarly_NoSuccessAndNoWait) {
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  this->Beat(archive, this->raw_back_end);
+  ASSERT_TRUE(this->Reaches(archive, "archive.example"));
+  this->CutAtEachByte(archive, "archive.example");
+}
+
+TEST_P(CutAnswerTest, BackEndOfAnotherNodeEndsEarly_NoSuccessAndNoWait) {
+  const Settings& archive = this->Start("archive");
+  const Settings& claims = this->Start("claims", {archive.address});
+  this->Configure(1);
+  this->Beat(claims, this->raw_back_end);
+  ASSERT_TRUE(this->Reaches(archive, "claims.example"));
+  this->CutAtEachByte(archive, "claims.example");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers,
+    CutAnswerTest,
+    ::testing::Values(
+        CutAnswer{"Length", "Content-Length: 6\r\n", "answer", "answer"},
+        CutAnswer{"Chunks", "Transfer-Encoding: chunked\r\n",
+                  "2\r\nan\r\n4;e\r\nswer\r\n0\r\nX-A: b\r\n\r\n", "answer"},
+        CutAnswer{"EndsByClose", "", "answer", "", true}),
+    [](const ::testing::TestParamInfo<CutAnswer>& answer) {
+      return std::string(answer.param.name);
+    });
+
+TEST_F(SidecarTest, OneOfTwoBackEndsEndsEarly_SafeCallIsAnsweredByTheOther) {
+  const Settings& first = this->Start("archive");
+  const Settings& second = this->Start("archive", {first.address});
+  this->Configure(1);
+  this->raw_back_end.AnswerWith("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n",
+                                false);
+  this->Beat(second, this->first_back_end);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(first, "archive.example").status == 200; }));
+  // The slower one is the second choice.
+  this->first_back_end.work = milliseconds(150);
+  EXPECT_EQ(this->Call(first, "archive.example").status, 200);
+  this->Beat(second, this->first_back_end);
+  this->Beat(first, this->raw_back_end);
+  EXPECT_TRUE(this->Eventually([&] {
+    const HttpResponse answer = this->Call(first, "archive.example");
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "answer");
+    EXPECT_EQ(answer.Header("X-Server-Stamp"), "stamp-i-archive");
+    return this->raw_back_end.ran() > 0;
+  }));
+}
+
 }  // namespace
 }  // namespace tanagerledge
