An answer in a transfer coding other than chunks is no answer

What callers saw: an answer whose head named another coding than `chunked` (gzip; gzip, chunked; a word cut short, such as `chunke`) came as a 200 with the coded bytes or the chunks' own lines as its body, framed as whole.

Cause: Beast reads such a body up to the end of the connection, or by the length beside it, and the field is of one connection only, so that it was dropped and the body framed anew.

Before, SpoiltAnswerTest.ServerClosesBehindIt_IsNoAnswer: 7 of 33 failed (OtherCoding, CodingCut, CodingBeforeChunks, CodingBehindChunks, CodingAndLength, TwoCodings, ChunksTwiceInOneField), such as CodingCut: Value of: answer.has_value() Actual: true Expected: false 200 3\r\nabc\r\n0\r\n\r\n After: 33 of 33 pass.

Why it works: the only coding whose end Beast knows is one field that says `chunked`. Everything else is an error that may have arrived, as for any answer that cannot be read: 502, and safe calls may go elsewhere.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -14,6 +14,7 @@
 #include <optional>
 
 #include "src/adapters/clock.h"
+#include "src/adapters/http_framing.h"
 
 namespace tanagerledge {
 
@@ -260,6 +261,10 @@
     return tl::unexpected(HttpError{
         true, "no answer from " + this->host + ": " + read.error.message()});
   }
+  if (!EndIsCertain(parser.get())) {
+    return tl::unexpected(
+        HttpError{true, "an answer in an unknown coding from " + this->host});
+  }
   // One second early: the server's clock began when it sent the answer.
   const auto stated = StatedIdleTime(parser.get()[http::field::keep_alive]);
   connection.idle_time = this->options.max_idle_time;
--- a/tests/log/cut_answer_test.cc
+++ b/tests/log/cut_answer_test.cc
@@ -294,9 +294,27 @@
         SpoiltAnswer{"HeadEndsInLf", kOk + "Content-Length: 3\r\n\nabc"},
         SpoiltAnswer{"LineEndsInCr",
                      kOk + "A: b\rContent-Length: 3\r\n\r\nabc"},
+        SpoiltAnswer{"OtherCoding", kOk + "Transfer-Encoding: gzip\r\n\r\nabc"},
+        SpoiltAnswer{"CodingCut", kOk + "Transfer-Encoding: chunke\r\n\r\n3\r\n"
+                                        "abc\r\n0\r\n\r\n"},
+        SpoiltAnswer{"CodingBeforeChunks",
+                     kOk + "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\n"
+                           "abc\r\n0\r\n\r\n"},
+        SpoiltAnswer{"CodingBehindChunks",
+                     kOk + "Transfer-Encoding: chunked, gzip\r\n\r\n3\r\n"
+                           "abc\r\n0\r\n\r\n"},
+        SpoiltAnswer{"CodingAndLength",
+                     kOk + "Transfer-Encoding: gzip\r\nContent-Length: "
+                           "3\r\n\r\nabc"},
+        SpoiltAnswer{"TwoCodings",
+                     kOk + "Transfer-Encoding: gzip\r\nTransfer-Encoding: "
+                           "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"},
         SpoiltAnswer{"ChunksTwice",
                      kOk + "Transfer-Encoding: chunked\r\nTransfer-Encoding: "
                            "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"},
+        SpoiltAnswer{"ChunksTwiceInOneField",
+                     kOk + "Transfer-Encoding: chunked, chunked\r\n\r\n3\r\n"
+                           "abc\r\n0\r\n\r\n"},
         SpoiltAnswer{"ChunkSizeEmpty",
                      kOk + "Transfer-Encoding: chunked\r\n\r\n\r\n\r\n"},
         SpoiltAnswer{"ChunkSizeTooLong",
