A request in a transfer coding other than chunks is not run

What could be seen: `POST /x` with `Transfer-Encoding: gzip` (or any word but chunked, or chunked followed by another) ran without a body, and its body was taken for the next request on the connection, which ran too.

Cause: Beast takes a request with neither a length nor chunks for one without a body, whatever coding it names.

Before, DoubtfulRequestTest.EndOfItsBodyIsInDoubt_NothingIsRun: 8 of 14 failed (OtherCoding, Identity, CodingCut, CodingBeforeChunks, CodingBehindChunks, ChunksTwice, TwoCodings, CodingAndLength), such as OtherCoding: this->handled Which is: { "POST /x ", "POST /x ", "GET /inner " } After: 14 of 14 pass.

Why it works: the head is looked at before the body is read, and the connection ends there, as it does for any other head that cannot be read.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -10,6 +10,8 @@
 #include <string>
 #include <utility>
 
+#include "src/adapters/http_framing.h"
+
 namespace tanagerledge {
 
 namespace beast = boost::beast;
@@ -185,7 +187,7 @@
     http::async_read_header(connection.stream, connection.buffer, parser,
                             std::move(done));
   });
-  if (!header) {
+  if (!header || !EndIsCertain(parser.get())) {
     return false;
   }
   connection.idle = false;
