A TRACE request with a body no longer ends the process

What was seen: a request TRACE with a body, sent on, ended the node: RawServerTest.TraceWithABody_IsSentLikeAnyOther: Aborted (134) terminate called after throwing an instance of 'boost::wrapexcept<std::invalid_argument>' what(): invalid request body

Cause: Beast's prepare_payload throws for that method, in a fiber where nothing catches. Any caller could send one.

After: the test passes; the method, path and body go on unchanged. The length is set directly for it; prepare_payload throws in no other case here.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -51,7 +51,12 @@
     }
   });
   request.body() = from.body;
-  request.prepare_payload();
+  if (request.method() == http::verb::trace && !from.body.empty()) {
+    // For this one, prepare_payload throws.
+    request.content_length(from.body.size());
+  } else {
+    request.prepare_payload();
+  }
   return request;
 }
 
--- a/tests/log/cut_answer_test.cc
+++ b/tests/log/cut_answer_test.cc
@@ -357,5 +357,19 @@
   });
 }
 
+// What is sent ----------------------------------------------------------------
+
+TEST_F(RawServerTest, TraceWithABody_IsSentLikeAnyOther) {
+  this->WithClient([&](HttpClient& client) {
+    this->ServeOnce({kFirst});
+    HttpRequest request;
+    request.method = "TRACE";
+    request.body = "body";
+    const auto answer = client.Send(request, kLongest);
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->body, "first");
+  });
+}
+
 }  // namespace
 }  // namespace tanagerledge
