A field of over 64 KiB ends its connection, not the process

Cause: Beast keeps a field's length in 16 bits and throws beyond it, from the read's handler. A trailer is not bounded by the head's limit, only by the buffer, which held the head's limit and 64 KiB more.

After: RawCallerTest.FieldOfHeadOrTrailerIsTooLong_EndsTheConnectionOnly passes; it sends the trailer and a head, with a limit of 128 KiB.

Why it works: the buffer holds 64 KiB in all, and a head at most as much, so that a whole field with its line and the lines around it is shorter than what Beast can keep. The price: heads of over 64 KiB are cut even if the operator's limit allows them.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -1,5 +1,6 @@
 #include "src/adapters/http_server.h"
 
+#include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
@@ -7,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cstdint>
 #include <string>
 #include <utility>
 
@@ -179,9 +181,11 @@
   connection.idle = true;
   http::request_parser<http::string_body> parser;
   parser.body_limit(this->limits.max_body_bytes);
-  parser.header_limit(this->limits.max_header_bytes);
-  connection.buffer.max_size(this->limits.max_header_bytes +
-                             kMostUnparsedBytes);
+  // A head or a trailer within this has no field that Beast cannot keep; it
+  // would throw, and not at a place where that can be caught.
+  parser.header_limit(std::min<std::uint32_t>(this->limits.max_header_bytes,
+                                              kMostUnparsedBytes));
+  connection.buffer.max_size(kMostUnparsedBytes);
   connection.stream.expires_after(this->limits.idle_timeout);
   const auto header = Await<std::size_t>([&](auto done) {
     http::async_read_header(connection.stream, connection.buffer, parser,
--- a/tests/adapters/cut_request_test.cc
+++ b/tests/adapters/cut_request_test.cc
@@ -27,7 +27,14 @@
                  this->handled.push_back(request.method + " " + request.target +
                                          " " + request.body);
                  return std::optional(MakeResponse(200, "a/b", "answer"));
-               })) {}
+               }),
+               WideLimits()) {}
+
+  static HttpLimits WideLimits() {
+    HttpLimits limits;
+    limits.max_header_bytes = 128 * 1024;
+    return limits;
+  }
 
   // Sends the bytes on a connection of its own and returns what came back until
   // the server closed it.
@@ -173,5 +180,21 @@
       return std::string(request.param.name);
     });
 
+// Answers ---------------------------------------------------------------------
+
+// A field of over 64 KiB cannot be kept: it must end the connection, not the
+// process.
+TEST_F(RawCallerTest, FieldOfHeadOrTrailerIsTooLong_EndsTheConnectionOnly) {
+  const std::string field = "A: " + std::string(68'000, 'a') + "\r\n\r\n";
+  this->WithServer([&] {
+    this->SendAll("GET /x HTTP/1.1\r\n" + field);
+    this->SendAll("PUT /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" +
+                  field);
+    EXPECT_EQ(this->handled.size(), 0U);
+    this->SendAll("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(this->handled.size(), 1U);
+  });
+}
+
 }  // namespace
 }  // namespace tanagerledge
