The answer to HEAD has no body

What callers saw: an own answer (404, 503, ...) to HEAD came with its text, which a client takes for the beginning of the next answer on the connection.

Before: RawCallerTest.HeadThenGet_AnswerToHeadHasNoBody Value of: back.substr(head_end + 4).starts_with("HTTP/1.1 200") Actual: false Expected: true After: it passes.

Cause and mending: the server wrote each answer with its body. For HEAD it now writes the head, with the length that the body would have had.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -42,7 +42,10 @@
   return request;
 }
 
-BeastResponse ToBeast(HttpResponse&& from, unsigned version, bool keep_alive) {
+BeastResponse ToBeast(HttpResponse&& from,
+                      unsigned version,
+                      bool keep_alive,
+                      bool head_only) {
   BeastResponse response(static_cast<http::status>(from.status), version);
   for (const HttpHeader& header : from.headers) {
     response.insert(
@@ -52,6 +55,9 @@
   response.keep_alive(keep_alive);
   response.body() = std::move(from.body);
   response.prepare_payload();
+  if (head_only) {
+    response.body().clear();
+  }
   return response;
 }
 
@@ -213,7 +219,8 @@
   }
   BeastResponse response =
       ToBeast(std::move(*answer), version,
-              keep_alive && !this->draining && !this->closing);
+              keep_alive && !this->draining && !this->closing,
+              request.method == "HEAD");
   connection.stream.expires_after(this->limits.read_timeout);
   const auto written = Await<std::size_t>([&](auto done) {
     http::async_write(connection.stream, response, std::move(done));
--- a/tests/adapters/cut_request_test.cc
+++ b/tests/adapters/cut_request_test.cc
@@ -182,6 +182,18 @@
 
 // Answers ---------------------------------------------------------------------
 
+TEST_F(RawCallerTest, HeadThenGet_AnswerToHeadHasNoBody) {
+  this->WithServer([&] {
+    const std::string back = this->SendAll(
+        "HEAD /a HTTP/1.1\r\nHost: a\r\n\r\nGET /b HTTP/1.1\r\nHost: "
+        "a\r\nConnection: close\r\n\r\n");
+    const std::size_t head_end = back.find("\r\n\r\n");
+    ASSERT_NE(head_end, std::string::npos);
+    EXPECT_TRUE(back.substr(head_end + 4).starts_with("HTTP/1.1 200"));
+    EXPECT_TRUE(back.ends_with("\r\n\r\nanswer"));
+  });
+}
+
 // A field of over 64 KiB cannot be kept: it must end the connection, not the
 // process.
 TEST_F(RawCallerTest, FieldOfHeadOrTrailerIsTooLong_EndsTheConnectionOnly) {
