A head with the fields of two answers is spoilt

What callers saw: where a back end breaks off inside the head of one answer and another follows on the connection, the two read as one head. It has our id and the other's; the first was taken, and the caller got a 200 with the other request's body. With the other's X-Not-Executed it would have been a false promise.

--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -105,6 +105,26 @@
             AnswerKind::kSpoilt);
 }
 
+// A head that breaks off and runs into another answer's has fields of both.
+TEST_F(PlatformTest, AnswerWithFieldsOfTwo_IsSpoilt) {
+  const HttpHeader ours{"X-Attempt-Id", "a"};
+  const HttpHeader other{"x-attempt-id", "b"};
+  const HttpHeader stamp{"X-Server-Stamp", "s"};
+  const HttpHeader other_stamp{"x-server-stamp", "t"};
+  const HttpHeader not_run{"X-Not-Executed", "1"};
+  const std::vector<HttpResponse> answers = {
+      Answer(200, {ours, stamp, other}),
+      Answer(200, {ours, stamp, other_stamp}),
+      Answer(500, {ours, stamp, other}), Answer(503, {ours, other, not_run}),
+      Answer(421, {ours, other})};
+  std::ranges::for_each(answers, [&](const HttpResponse& answer) {
+    EXPECT_EQ(this->platform.Judge(answer, "a"), AnswerKind::kSpoilt)
+        << answer.status;
+  });
+  EXPECT_EQ(this->platform.Judge(Answer(200, {ours, stamp, ours, stamp}), "a"),
+            AnswerKind::kAnswered);
+}
+
 TEST_F(PlatformTest, BackEndSaysNotRun_IsNotRun) {
   EXPECT_EQ(this->platform.Judge(Answer(503, {{"X-Not-Executed", "1"}}), "a"),
             AnswerKind::kNotRun);
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -747,5 +747,29 @@
   }));
 }
 
+// The head of one answer that runs into another's.
+TEST_F(SidecarTest, HeadBreaksOffInAnotherAnswer_IsNoSuccess) {
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  this->Beat(archive, this->raw_back_end);
+  ASSERT_TRUE(this->Eventually([&] {
+    this->Call(archive, "archive.example");
+    return this->raw_back_end.ran() > 0;
+  }));
+  const std::string other =
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Stamp: s.2\r\n"
+      "Content-Length: 5\r\n\r\nother";
+  const std::string ours = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ours\r\n";
+  const std::vector<std::string> heads = {
+      ours + "X-Other: ", ours + "X-Server-Stamp: s.1",
+      ours + "X-Server-Stamp: s.1\r\nX-Other: "};
+  std::ranges::for_each(heads, [&](const std::string& head) {
+    this->raw_back_end.AnswerWith(head + other, false);
+    const auto answer = this->Try(archive, "archive.example", "ours");
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->status, 502) << head << " gave " << answer->body;
+  });
+}
+
 }  // namespace
 }  // namespace tanagerledge
