--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "src/adapters/log_page.h"
 #include "src/adapters/net.h"
@@ -137,5 +138,28 @@
   });
 }
 
+TEST_F(CutStoreAnswerTest, RecordsGoneAndFirstUnreadable_IsExpiredOnly) {
+  const std::vector<std::string> bodies = {R"({"first_offset":"x"})",
+                                           R"({"first_offset":null})",
+                                           R"({"first_offset":-1})",
+                                           R"({"first_offset":1)",
+                                           "[]",
+                                           ""};
+  this->loop.Spawn([&] {
+    StoreClient client(this->loop, this->acceptor.local_endpoint());
+    std::ranges::for_each(bodies, [&](const std::string& body) {
+      this->ServeOnce("HTTP/1.1 410 Gone\r\n\r\n" + body, false);
+      const auto page = client.Read("s", {0}, 9, seconds(0), kLongest);
+      ASSERT_FALSE(page.has_value());
+      EXPECT_EQ(page.error().kind, LogErrorKind::kExpired);
+      EXPECT_EQ(page.error().first_kept.value, 0U) << body;
+    });
+    client.Close();
+    this->acceptor.close();
+    this->loop.Stop();
+  });
+  this->loop.Run();
+}
+
 }  // namespace
 }  // namespace tanagerledge::platform
