--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -14,6 +14,7 @@
 #include <optional>
 
 #include "src/adapters/clock.h"
+#include "src/adapters/http_framing.h"
 
 namespace tanagerledge {
 
@@ -50,7 +51,12 @@
     }
   });
   request.body() = from.body;
-  request.prepare_payload();
+  if (request.method() == http::verb::trace && !from.body.empty()) {
+    // For this one, prepare_payload throws.
+    request.content_length(from.body.size());
+  } else {
+    request.prepare_payload();
+  }
   return request;
 }
 
@@ -260,6 +266,10 @@
     return tl::unexpected(HttpError{
         true, "no answer from " + this->host + ": " + read.error.message()});
   }
+  if (!EndIsCertain(parser.get())) {
+    return tl::unexpected(
+        HttpError{true, "an answer in an unknown coding from " + this->host});
+  }
   // One second early: the server's clock began when it sent the answer.
   const auto stated = StatedIdleTime(parser.get()[http::field::keep_alive]);
   connection.idle_time = this->options.max_idle_time;
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -8,10 +8,12 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cstdint>
 #include <string>
 #include <utility>
 
 #include "src/adapters/clock.h"
+#include "src/adapters/http_framing.h"
 
 namespace tanagerledge {
 
@@ -41,7 +43,10 @@
   return request;
 }
 
-BeastResponse ToBeast(HttpResponse&& from, unsigned version, bool keep_alive) {
+BeastResponse ToBeast(HttpResponse&& from,
+                      unsigned version,
+                      bool keep_alive,
+                      bool head_only) {
   BeastResponse response(static_cast<http::status>(from.status), version);
   for (const HttpHeader& header : from.headers) {
     response.insert(
@@ -51,6 +56,9 @@
   response.keep_alive(keep_alive);
   response.body() = std::move(from.body);
   response.prepare_payload();
+  if (head_only) {
+    response.body().clear();
+  }
   return response;
 }
 
@@ -189,15 +197,17 @@
   connection.phase = Connection::Phase::kIdle;
   http::request_parser<http::string_body> parser;
   parser.body_limit(this->limits.max_body_bytes);
-  parser.header_limit(this->limits.max_header_bytes);
-  connection.buffer.max_size(this->limits.max_header_bytes +
-                             kMostUnparsedBytes);
+  // A head or a trailer within this has no field that Beast cannot keep; it
+  // would throw, and not at a place where that can be caught.
+  parser.header_limit(std::min<std::uint32_t>(this->limits.max_header_bytes,
+                                              kMostUnparsedBytes));
+  connection.buffer.max_size(kMostUnparsedBytes);
   connection.stream.expires_after(this->limits.idle_timeout);
   const auto header = Await<std::size_t>([&](auto done) {
     http::async_read_header(connection.stream, connection.buffer, parser,
                             std::move(done));
   });
-  if (!header) {
+  if (!header || !EndIsCertain(parser.get())) {
     return false;
   }
   connection.phase = Connection::Phase::kReading;
@@ -223,7 +233,8 @@
   connection.phase = Connection::Phase::kWriting;
   BeastResponse response =
       ToBeast(std::move(*answer), version,
-              keep_alive && !this->draining && !this->closing);
+              keep_alive && !this->draining && !this->closing,
+              request.method == "HEAD");
   connection.stream.expires_after(this->limits.read_timeout);
   const auto written = Await<std::size_t>([&](auto done) {
     http::async_write(connection.stream, response, std::move(done));
