An answer without the attempt's id is nobody's

What callers saw: a faulty endpoint refuses a request, keeps the connection and writes the refusal once more while it runs the next request there. When the repeat carried no X-Attempt-Id, the next caller was told 503, not run, for a request that the endpoint was running (REFUSED); or the request was sent on and ran at a second endpoint too (TWICE). A 421 without the id also took the back end out until its next heartbeat.

Cause: Platform::IsFor took an answer without an id for ours, and Judge believed X-Not-Executed and 421 in it.

Now only the echoed id makes an answer ours. Others are read past, so that the true answer behind them still serves the caller; when none follows by the deadline, the outcome is unknown (504), and only what may be repeated is. Each answer that is read past is logged ("stray answer").

True refusals, with their id, still count as not run: each of these tests begins with one.

--- a/soak/back_end.cc
+++ b/soak/back_end.cc
@@ -191,12 +191,17 @@
     return response;
   }
   const std::string id(request.Header("X-Attempt-Id"));
+  const auto refuse = [&id](int status) {
+    HttpResponse refusal = MakeResponse(status, "text/plain", "");
+    refusal.headers.push_back({"X-Attempt-Id", id});
+    return refusal;
+  };
   if (request.Header("X-Expect-Instance") != this->instance) {
-    return MakeResponse(kMisdirected, "text/plain", "");
+    return refuse(kMisdirected);
   }
   this->CheckLeave(id);
   if (this->moody && this->Draw(kMoodShare)) {
-    HttpResponse refusal = MakeResponse(kUnavailable, "text/plain", "");
+    HttpResponse refusal = refuse(kUnavailable);
     refusal.headers.push_back({"X-Not-Executed", "1"});
     return refusal;
   }
--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -277,7 +277,12 @@
       this->platform.ToBackEnd(request, call.instance, left);
   ExchangeOptions exchange;
   exchange.belongs = [this, &request](const HttpResponse& answer) {
-    return this->platform.IsFor(answer, request.attempt_id);
+    const bool ours = this->platform.IsFor(answer, request.attempt_id);
+    if (!ours) {
+      this->events.Write("stray answer", {{"id", request.attempt_id},
+                                          {"status", answer.status}});
+    }
+    return ours;
   };
   std::optional<wire::CallReply> withdrawn;
   exchange.may_send = [this, &call, &withdrawn, checked = Now()] {
--- a/src/sidecar/platform_port.h
+++ b/src/sidecar/platform_port.h
@@ -72,7 +72,7 @@
                                 const std::string& instance,
                                 std::chrono::milliseconds left) const = 0;
 
-  // Whether an answer on a back end's connection is to this attempt.
+  // Whether an answer on a back end's connection is provably to this attempt.
   virtual bool IsFor(const HttpResponse& answer,
                      const std::string& attempt_id) const = 0;
   virtual AnswerKind Judge(const HttpResponse& answer,
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -106,14 +106,29 @@
 }
 
 TEST_F(PlatformTest, BackEndSaysNotRun_IsNotRun) {
-  EXPECT_EQ(this->platform.Judge(Answer(503, {{"X-Not-Executed", "1"}}), "a"),
-            AnswerKind::kNotRun);
-  EXPECT_EQ(this->platform.Judge(Answer(421, {}), "a"),
+  const HttpHeader echo{"X-Attempt-Id", "a"};
+  EXPECT_EQ(
+      this->platform.Judge(Answer(503, {echo, {"X-Not-Executed", "1"}}), "a"),
+      AnswerKind::kNotRun);
+  EXPECT_EQ(this->platform.Judge(Answer(421, {echo}), "a"),
             AnswerKind::kWrongInstance);
 }
 
+TEST_F(PlatformTest, AnswerWithoutAnId_IsNotForThisAttempt) {
+  const std::vector<HttpResponse> answers = {
+      Answer(503, {{"X-Not-Executed", "1"}}), Answer(421, {}),
+      Answer(500, {{"X-Server-Stamp", "s"}}),
+      Answer(200, {{"X-Server-Stamp", "s"}})};
+  std::ranges::for_each(answers, [this](const HttpResponse& answer) {
+    EXPECT_FALSE(this->platform.IsFor(answer, "a")) << answer.status;
+    EXPECT_EQ(this->platform.Judge(answer, "a"), AnswerKind::kSpoilt)
+        << answer.status;
+  });
+}
+
 TEST_F(PlatformTest, StatusThatPromisesNotRunWithoutTheField_IsNotBelieved) {
-  EXPECT_EQ(this->platform.Judge(Answer(503, {}), "a"), AnswerKind::kSpoilt);
+  EXPECT_EQ(this->platform.Judge(Answer(503, {{"X-Attempt-Id", "a"}}), "a"),
+            AnswerKind::kSpoilt);
 }
 
 // Back ends -------------------------------------------------------------------
--- /dev/null
+++ b/tests/sidecar/owner_test.cc
@@ -0,0 +1,214 @@
+// The owner beside a faulty back end: which of the answers on a kept connection
+// is taken for the answer to a call.
+
+#include "src/sidecar/owner.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/platform.h"
+#include "src/node/call_messages.h"
+#include "tests/sidecar/scripted_back_end.h"
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Part = ScriptedBackEnd::Part;
+
+class NoPeers : public PeerPort {
+ public:
+  void Send(const NodeId&, Channel, std::string) override {}
+  tl::expected<std::string, PeerError> Request(const NodeId&,
+                                               Channel,
+                                               std::string,
+                                               microseconds) override {
+    return tl::unexpected(PeerError{});
+  }
+};
+
+// A status and the fields behind it, without the attempt's id.
+struct Refusal {
+  const char* name;
+  std::string head;
+};
+
+std::string Answer(const std::string& head,
+                   const std::string& attempt_id,
+                   const std::string& body = "") {
+  const std::string echo =
+      attempt_id.empty() ? "" : "X-Attempt-Id: " + attempt_id + "\r\n";
+  return "HTTP/1.1 " + head + "\r\n" + echo +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Success(const std::string& attempt_id) {
+  return Answer("200 OK\r\nX-Server-Stamp: s", attempt_id, "ran " + attempt_id);
+}
+
+class OwnerTest : public testing::Test {
+ protected:
+  static constexpr milliseconds kPatience{400};
+
+  // Runs `work` in a fiber, with the back end known and `script` its answers.
+  template <typename Work>
+  void WithBackEnd(ScriptedBackEnd::Script script, Work work) {
+    this->back_end =
+        std::make_unique<ScriptedBackEnd>(this->loop, std::move(script));
+    this->loop.Spawn([this, work] {
+      this->Beat();
+      work();
+      this->owner.Close();
+      this->back_end->Close();
+      this->loop.Stop();
+    });
+    this->loop.Run();
+  }
+
+  void Beat() {
+    Heartbeat beat;
+    beat.instance = "i-1";
+    beat.born_ms = 1000;
+    beat.sequence = ++this->beats;
+    beat.service = {"claims"};
+    beat.address = this->back_end->address();
+    beat.slots = 4;
+    this->owner.OnHeartbeat(beat);
+  }
+
+  wire::CallReply Call(const std::string& attempt_id) {
+    wire::CallRequest request;
+    request.service_name = "claims";
+    request.method = "POST";
+    request.target = "/x/1";
+    request.route = "claims";
+    request.attempt_id = attempt_id;
+    request.remaining_us = microseconds(kPatience).count();
+    request.target_us = request.remaining_us;
+    request.send_id = ++this->sends;
+    return this->owner.Run({"peer"}, request);
+  }
+
+  static void ExpectNotRun(const wire::CallReply& reply) {
+    EXPECT_EQ(ToText(OutcomeOf(reply)), ToText(Outcome::kNotRun))
+        << reply.detail;
+  }
+
+  static void ExpectRan(const wire::CallReply& reply,
+                        const std::string& attempt_id) {
+    EXPECT_EQ(ToText(OutcomeOf(reply)), ToText(Outcome::kOk)) << reply.detail;
+    EXPECT_EQ(reply.status, 200);
+    EXPECT_EQ(reply.body, "ran " + attempt_id);
+  }
+
+  IoLoop loop;
+  NoPeers peers;
+  const platform::Platform platform{};
+  EventLog events{"test"};
+  SuspectHost suspects{this->loop, this->peers, {"self"}};
+  Owner owner{this->loop, this->platform, this->suspects, this->events, {},
+              {1}};
+  std::unique_ptr<ScriptedBackEnd> back_end;
+  std::uint64_t beats = 0;
+  std::int64_t sends = 0;
+};
+
+class RepeatedRefusalTest : public OwnerTest,
+                            public testing::WithParamInterface<Refusal> {
+ protected:
+  // Refuses `first`, then calls `second`: for it the back end writes `again`
+  // while it runs it, and then the true answer.
+  void RefuseThenRun(const std::string& second, const std::string& again) {
+    const std::string refusal = Answer(GetParam().head, "a-1");
+    this->WithBackEnd(
+        [&](const HttpRequest& request, int nth) -> std::vector<Part> {
+          const std::string id(request.Header("X-Attempt-Id"));
+          if (++this->requests == 1) {
+            return {{refusal}};
+          }
+          if (nth == 0) {  // A connection that has brought nothing before.
+            return {{Success(id), milliseconds(20)}};
+          }
+          return {{again, milliseconds(10)}, {Success(id), milliseconds(20)}};
+        },
+        [&] {
+          ExpectNotRun(this->Call("a-1"));
+          this->Beat();  // After a 421 the back end counts as replaced.
+          ExpectRan(this->Call(second), second);
+          // What has come meanwhile disturbs no later call.
+          this->Beat();
+          ExpectRan(this->Call("a-3"), "a-3");
+        });
+  }
+
+  // Refuses `a-1` with the bytes of `parts`, then runs what comes.
+  void RefuseWith(std::vector<Part> parts, milliseconds pause) {
+    this->WithBackEnd(
+        [&, parts](const HttpRequest& request, int) -> std::vector<Part> {
+          const std::string id(request.Header("X-Attempt-Id"));
+          return ++this->requests == 1
+                     ? parts
+                     : std::vector<Part>{{Success(id), milliseconds(20)}};
+        },
+        [&] {
+          ExpectNotRun(this->Call("a-1"));
+          this->loop.SleepFor(pause);
+          this->Beat();
+          ExpectRan(this->Call("a-2"), "a-2");
+        });
+  }
+
+  int requests = 0;
+};
+
+TEST_P(RepeatedRefusalTest, BehindTheRefusalItself_IsNotTakenForTheNextCall) {
+  const std::string refusal = Answer(GetParam().head, "a-1");
+  this->RefuseWith({{refusal + refusal}}, milliseconds(0));
+}
+
+TEST_P(RepeatedRefusalTest, OnAnIdleConnection_IsNotTakenForTheNextCall) {
+  const std::string refusal = Answer(GetParam().head, "a-1");
+  this->RefuseWith({{refusal}, {refusal, milliseconds(20)}}, milliseconds(60));
+}
+
+// Nothing else comes: the back end may still run it.
+TEST_P(RepeatedRefusalTest, WithoutAnIdAndNoOtherAnswer_MayHaveRun) {
+  this->WithBackEnd(
+      [](const HttpRequest&, int) {
+        return std::vector<Part>{{Answer(GetParam().head, "")}};
+      },
+      [&] {
+        const wire::CallReply reply = this->Call("a-1");
+        EXPECT_EQ(ToText(OutcomeOf(reply)), ToText(Outcome::kUnknown));
+      });
+}
+
+TEST_P(RepeatedRefusalTest, WithTheEarlierId_IsNotTakenForTheNextCall) {
+  this->RefuseThenRun("a-2", Answer(GetParam().head, "a-1"));
+}
+
+TEST_P(RepeatedRefusalTest, WithoutAnId_IsNotTakenForTheNextCall) {
+  this->RefuseThenRun("a-2", Answer(GetParam().head, ""));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Statuses,
+    RepeatedRefusalTest,
+    testing::Values(
+        Refusal{"Full", "503 Service Unavailable\r\nX-Not-Executed: 1"},
+        Refusal{"TooMany", "429 Too Many Requests\r\nX-Not-Executed: 1"},
+        Refusal{"TimedOut", "408 Request Timeout\r\nX-Not-Executed: 1"},
+        Refusal{"Misdirected", "421 Misdirected Request\r\nX-Not-Executed: 1"},
+        Refusal{"MisdirectedByStatus", "421 Misdirected Request"}),
+    [](const testing::TestParamInfo<Refusal>& refusal) {
+      return std::string(refusal.param.name);
+    });
+
+}  // namespace
+}  // namespace tanagerledge
--- /dev/null
+++ b/tests/sidecar/scripted_back_end.h
@@ -0,0 +1,112 @@
+// A back end whose bytes a test chooses, for faults that a server by the book
+// cannot have.
+
+#ifndef TANAGERLEDGE_TESTS_SIDECAR_SCRIPTED_BACK_END_H_
+#define TANAGERLEDGE_TESTS_SIDECAR_SCRIPTED_BACK_END_H_
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/adapters/fiber_io.h"
+#include "src/adapters/http_message.h"
+#include "src/adapters/net.h"
+
+namespace tanagerledge {
+
+class ScriptedBackEnd {
+ public:
+  // Bytes to write, after a pause.
+  struct Part {
+    std::string bytes;
+    std::chrono::milliseconds after{0};
+  };
+  // What is written for a request, the `nth` on its connection from 0.
+  using Script =
+      std::function<std::vector<Part>(const HttpRequest& request, int nth)>;
+
+  ScriptedBackEnd(IoLoop& io_loop, Script answer_script)
+      : loop(io_loop),
+        script(std::move(answer_script)),
+        acceptor(io_loop.context(),
+                 {boost::asio::ip::address_v4::loopback(), 0}) {
+    this->loop.Spawn([this] { this->AcceptAll(); });
+  }
+
+  std::string address() const {
+    return FormatAddress(this->acceptor.local_endpoint());
+  }
+
+  // On the loop; it must outlive the loop's fibers.
+  void Close() {
+    this->closed = true;
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    std::ranges::for_each(this->sockets, [&ignored](const SocketPtr& socket) {
+      socket->close(ignored);
+    });
+  }
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+  using SocketPtr = std::shared_ptr<Socket>;
+
+  void AcceptAll() {
+    while (!this->closed) {
+      const auto socket = std::make_shared<Socket>(this->loop.context());
+      const auto error = AwaitError([&](auto done) {
+        this->acceptor.async_accept(*socket, std::move(done));
+      });
+      if (!error && !this->closed) {
+        this->sockets.push_back(socket);
+        this->loop.SpawnHere([this, socket] { this->Serve(*socket); });
+      }
+    }
+  }
+
+  void Serve(Socket& socket) {
+    namespace http = boost::beast::http;
+    boost::beast::flat_buffer buffer;
+    for (int nth = 0;; ++nth) {
+      http::request<http::string_body> read;
+      if (!Await<std::size_t>([&](auto done) {
+            http::async_read(socket, buffer, read, std::move(done));
+          })) {
+        return;
+      }
+      HttpRequest request;
+      request.target = std::string(read.target());
+      std::ranges::for_each(read, [&request](const auto& field) {
+        request.headers.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
+      });
+      std::ranges::for_each(this->script(request, nth), [&](const Part& part) {
+        this->loop.SleepFor(part.after);
+        Await<std::size_t>([&](auto done) {
+          boost::asio::async_write(socket, boost::asio::buffer(part.bytes),
+                                   std::move(done));
+        });
+      });
+    }
+  }
+
+  IoLoop& loop;
+  Script script;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::vector<SocketPtr> sockets;
+  bool closed = false;
+};
+
+}  // namespace tanagerledge
+
+#endif  // TANAGERLEDGE_TESTS_SIDECAR_SCRIPTED_BACK_END_H_
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -9,8 +9,11 @@
 #include <atomic>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <future>
+#include <iterator>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -23,6 +26,7 @@
 #include "platform/store_client.h"
 #include "src/adapters/fiber_sync.h"
 #include "src/adapters/http_client.h"
+#include "tests/sidecar/scripted_back_end.h"
 
 namespace tanagerledge {
 namespace {
@@ -62,8 +66,12 @@
       response.headers.push_back({"X-Instance-Id", this->instance});
       return response;
     }
+    const HttpHeader echo{"X-Attempt-Id",
+                          std::string(request.Header("X-Attempt-Id"))};
     if (request.Header("X-Expect-Instance") != this->instance) {
-      return MakeResponse(421, "text/plain", "");
+      HttpResponse refusal = MakeResponse(421, "text/plain", "");
+      refusal.headers.push_back(echo);
+      return refusal;
     }
     this->loop.SleepFor(this->work.load());
     const std::scoped_lock lock(this->mutex);
@@ -71,8 +79,7 @@
     if (this->lose_answers) {
       return std::nullopt;
     }
-    response.headers.push_back(
-        {"X-Attempt-Id", std::string(request.Header("X-Attempt-Id"))});
+    response.headers.push_back(echo);
     response.headers.push_back({"X-Server-Stamp", "stamp-" + this->instance});
     return response;
   }
@@ -113,6 +120,7 @@
     this->stand_ins.Spawn([this] {
       this->first_back_end.server.Close();
       this->second_back_end.server.Close();
+      std::ranges::for_each(this->faulty, &ScriptedBackEnd::Close);
       this->store.Close();
       this->stand_ins.Stop();
     });
@@ -231,12 +239,19 @@
   void Beat(const Settings& node,
             const StandInBackEnd& back_end,
             const char* state = "ready") {
+    this->Beat(node, back_end.instance, back_end.address, state);
+  }
+
+  void Beat(const Settings& node,
+            const std::string& instance,
+            const std::string& address,
+            const char* state) {
     HttpRequest request;
     request.method = "PUT";
-    request.target = "/instances/" + back_end.instance;
+    request.target = "/instances/" + instance;
     request.body = json{
         {"service", node.service.value},
-        {"address", back_end.address},
+        {"address", address},
         {"slots", 4},
         {"state", state},
         {"sequence", ++this->beats},
@@ -280,6 +295,7 @@
   const platform::Platform platform{};
   StandInBackEnd first_back_end;
   StandInBackEnd second_back_end;
+  std::deque<ScriptedBackEnd> faulty;
   std::string store_address;
   std::vector<std::unique_ptr<Settings>> nodes;
   std::vector<std::unique_ptr<Sidecar>> sidecars;
@@ -522,5 +538,72 @@
   EXPECT_EQ(this->Call(archive, "archive.example").status, 200);
 }
 
+// Each back end writes an earlier refusal again, without an id, while it runs
+// the next call.
+TEST_F(SidecarTest, RefusalRepeatedOnAKeptConnection_IsNotTakenForTheNextCall) {
+  using Parts = std::vector<ScriptedBackEnd::Part>;
+  const std::string refusal =
+      "HTTP/1.1 503 Service Unavailable\r\n"
+      "X-Not-Executed: 1\r\nContent-Length: 0\r\n";
+  std::atomic<bool> refuse{false};
+  std::atomic<bool> repeat{false};
+  std::atomic<int> refused{0};
+  std::mutex mutex;
+  std::map<std::string, int, std::less<>> runs;
+  const auto script = [&](const std::string& instance) {
+    return [&, instance](const HttpRequest& request, int nth) -> Parts {
+      const std::string id(request.Header("X-Attempt-Id"));
+      const std::string echo = "X-Attempt-Id: " + id + "\r\n";
+      const std::string success =
+          "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Instance-Id: " + instance +
+          "\r\nContent-Length: 0\r\n" + echo + "\r\n";
+      if (refuse) {
+        ++refused;
+        return {{refusal + echo + "\r\n"}};
+      }
+      if (!repeat) {
+        return {{success}};
+      }
+      const std::scoped_lock lock(mutex);
+      ++runs[id];
+      return nth == 0 ? Parts{{success}}
+                      : Parts{{refusal + "\r\n"}, {success, milliseconds(20)}};
+    };
+  };
+  const Settings& entry = this->Start("claims");
+  const Settings& other = this->Start("claims", {entry.address});
+  this->Configure(1);
+  this->OnLoop([&] {
+    this->faulty.emplace_back(this->stand_ins, script("i-1"));
+    this->faulty.emplace_back(this->stand_ins, script("i-2"));
+    return 0;
+  });
+  this->Beat(entry, "i-1", this->faulty.front().address(), "ready");
+  this->Beat(other, "i-2", this->faulty.back().address(), "ready");
+  // Calls that are served earn some retries.
+  int served = 0;
+  ASSERT_TRUE(this->Eventually([&] {
+    served += this->Call(entry, "claims.example").status == 200 ? 1 : 0;
+    return served >= 40;
+  }));
+  refuse = true;
+  ASSERT_TRUE(this->Eventually([&] {
+    return this->Call(entry, "claims.example").status == 503 && refused >= 2;
+  }));
+  refuse = false;
+  repeat = true;
+  const std::vector<int> calls(8, 200);
+  std::vector<int> statuses;
+  std::ranges::transform(calls, std::back_inserter(statuses), [&](int) {
+    return this->Call(entry, "claims.example").status;
+  });
+  EXPECT_EQ(statuses, calls);
+  const std::scoped_lock lock(mutex);
+  std::vector<int> runs_of_each;
+  std::ranges::transform(runs, std::back_inserter(runs_of_each),
+                         [](const auto& attempt) { return attempt.second; });
+  EXPECT_EQ(runs_of_each, std::vector<int>(calls.size(), 1));
+}
+
 }  // namespace
 }  // namespace tanagerledge
