--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -127,8 +127,12 @@
 }
 
 TEST_F(PlatformTest, StatusThatPromisesNotRunWithoutTheField_IsNotBelieved) {
-  EXPECT_EQ(this->platform.Judge(Answer(503, {{"X-Attempt-Id", "a"}}), "a"),
-            AnswerKind::kSpoilt);
+  for (const int status : {408, 429, 503}) {
+    EXPECT_EQ(
+        this->platform.Judge(Answer(status, {{"X-Attempt-Id", "a"}}), "a"),
+        AnswerKind::kSpoilt)
+        << status;
+  }
 }
 
 // Back ends -------------------------------------------------------------------
