No connection carries the same attempt id twice

The entry never sends an attempt to a node twice, and clients name each attempt anew.

Cause: the id told answers of two requests apart, not of two sends of one id on one kept connection.

Now a connection remembers the ids that it has carried, as hashes (8 KB at most), is passed over for a request with one of them, and is not kept after 1,024. So an answer with the id, on this connection, is the answer to this send. Two hashes that agree by chance cost a connection and nothing else.

Before, RepeatedRefusalTest.OfTheSameAttempt_IsNotTakenForItsNextSend failed for each of the five refusals ("not-run" for a send that ran). With the look-up taken out, HttpClientTest.SameIdAgain_GoesOnAnotherConnection failed (1 connection, wanted 2); with the bound taken out, MoreIdsThanAConnectionRemembers_AreSpreadOverTwo (1, wanted 2). After: all pass.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
+#include <functional>
 #include <iterator>
 #include <optional>
 
@@ -106,8 +107,20 @@
     return error == boost::asio::error::would_block;
   }
 
+  bool HasCarried(const std::string& id) const {
+    return !id.empty() &&
+           std::ranges::find(this->ids, HashOf(id)) != this->ids.end();
+  }
+
+  static std::size_t HashOf(const std::string& id) {
+    return std::hash<std::string>()(id);
+  }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  // Hashes of the ids that it has carried: two that agree by chance only cost
+  // a connection.
+  std::vector<std::size_t> ids;
   bool reusable = false;
   std::chrono::milliseconds idle_time{0};  // How long it may wait for reuse.
   Instant idle_since{};
@@ -138,7 +151,7 @@
     std::chrono::milliseconds timeout,
     const ExchangeOptions& exchange) {
   const Instant deadline = Now() + timeout;
-  auto connection = this->Take(deadline);
+  auto connection = this->Take(deadline, exchange.id);
   if (!connection) {
     return tl::unexpected(connection.error());
   }
@@ -160,6 +173,7 @@
 void HttpClient::Keep(ConnectionPtr connection) {
   // Bytes after the answer belong to no request: the connection is not safe.
   const bool keep = connection->reusable && connection->buffer.size() == 0 &&
+                    connection->ids.size() < kMostIdsOfAConnection &&
                     !this->closed &&
                     this->idle.size() < this->options.max_idle_connections;
   if (keep) {
@@ -170,16 +184,25 @@
 }
 
 tl::expected<HttpClient::ConnectionPtr, HttpError> HttpClient::Take(
-    Instant deadline) {
-  while (!this->idle.empty()) {
-    ConnectionPtr connection = std::move(this->idle.back());
-    this->idle.pop_back();
+    Instant deadline,
+    const std::string& id) {
+  const auto fits = [&id](const ConnectionPtr& connection) {
+    return !connection->HasCarried(id);
+  };
+  while (true) {
+    // The one used last is the least likely to be closed by the server.
+    const auto found =
+        std::find_if(this->idle.rbegin(), this->idle.rend(), fits);
+    if (found == this->idle.rend()) {
+      return this->Connect(deadline);
+    }
+    ConnectionPtr connection = std::move(*found);
+    this->idle.erase(std::next(found).base());
     const auto waited = Now() - connection->idle_since;
     if (waited < connection->idle_time && connection->StillStands()) {
       return connection;
     }
   }
-  return this->Connect(deadline);
 }
 
 tl::expected<HttpClient::ConnectionPtr, HttpError> HttpClient::Connect(
@@ -220,6 +243,9 @@
     return tl::unexpected(HttpError{false, "no longer to be sent"});
   }
   connection.reusable = false;
+  if (!exchange.id.empty()) {
+    connection.ids.push_back(Connection::HashOf(exchange.id));
+  }
   const auto message = ToBeast(request, this->host);
   const auto written = Await<std::size_t>([&](auto handler) {
     http::async_write(connection.stream, message, std::move(handler));
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -48,8 +48,14 @@
   bool probe_silence = false;
 };
 
+// A connection that has carried so many requests with an id is not used again.
+inline constexpr std::size_t kMostIdsOfAConnection = 1024;
+
 // What a caller may ask of one exchange. Everything is optional.
 struct ExchangeOptions {
+  // Names the request in its answer. No connection carries the same id twice,
+  // so that an earlier answer that comes once more is not taken for this one.
+  std::string id;
   // False for an answer that belongs to another request: it is read past.
   std::function<bool(const HttpResponse&)> belongs;
   // Asked when a connection is there, right before the first byte: what was
@@ -82,8 +88,10 @@
   struct Connection;
   using ConnectionPtr = std::unique_ptr<Connection>;
 
-  // An idle connection that still stands, or a new one.
-  tl::expected<ConnectionPtr, HttpError> Take(Instant deadline);
+  // An idle connection that still stands and has not carried the id, or a new
+  // one.
+  tl::expected<ConnectionPtr, HttpError> Take(Instant deadline,
+                                              const std::string& id);
   tl::expected<ConnectionPtr, HttpError> Connect(Instant deadline);
   tl::expected<HttpResponse, HttpError> Exchange(
       Connection& connection,
--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -276,6 +276,7 @@
   const HttpRequest out =
       this->platform.ToBackEnd(request, call.instance, left);
   ExchangeOptions exchange;
+  exchange.id = request.attempt_id;
   exchange.belongs = [this, &request](const HttpResponse& answer) {
     const bool ours = this->platform.IsFor(answer, request.attempt_id);
     if (!ours) {
--- a/tests/log/http_client_test.cc
+++ b/tests/log/http_client_test.cc
@@ -180,6 +180,37 @@
   EXPECT_EQ(this->accepted, 2);
 }
 
+TEST_F(HttpClientTest, SameIdAgain_GoesOnAnotherConnection) {
+  this->Serve({{kOk, kOk}});
+  this->Serve({{kOk, kOk}});
+  this->WithClient([&](HttpClient& client) {
+    const auto send = [&client](std::string id) {
+      ExchangeOptions exchange;
+      exchange.id = std::move(id);
+      return client.Send(kGet, seconds(5), exchange).has_value();
+    };
+    EXPECT_TRUE(send("a"));
+    EXPECT_TRUE(send("a"));
+    EXPECT_EQ(this->accepted, 2);
+    EXPECT_TRUE(send("b"));
+  });
+  EXPECT_EQ(this->accepted, 2);
+}
+
+TEST_F(HttpClientTest, MoreIdsThanAConnectionRemembers_AreSpreadOverTwo) {
+  const std::vector<std::string> answers(kMostIdsOfAConnection + 1, kOk);
+  this->Serve({answers});
+  this->Serve({{kOk}});
+  this->WithClient([&](HttpClient& client) {
+    for (std::size_t i = 0; i <= kMostIdsOfAConnection; ++i) {
+      ExchangeOptions exchange;
+      exchange.id = std::to_string(i);
+      EXPECT_TRUE(client.Send(kGet, seconds(5), exchange).has_value());
+    }
+  });
+  EXPECT_EQ(this->accepted, 2);
+}
+
 TEST_F(HttpClientTest, Close_EndsARequestInFlight) {
   this->Serve({{"", ""}});
   this->WithClient([&](HttpClient& client) {
--- a/tests/sidecar/owner_test.cc
+++ b/tests/sidecar/owner_test.cc
@@ -197,6 +197,11 @@
   this->RefuseThenRun("a-2", Answer(GetParam().head, ""));
 }
 
+// Calls of a request that runs again may come with the ids that they had.
+TEST_P(RepeatedRefusalTest, OfTheSameAttempt_IsNotTakenForItsNextSend) {
+  this->RefuseThenRun("a-1", Answer(GetParam().head, "a-1"));
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Statuses,
     RepeatedRefusalTest,
