A health check has a connection of its own

What would be seen: a back end whose leave was acknowledged is taken back and sent calls (DRAIN). A node asks about the back end that it recalls; the one that answers has another name. That one leaves, a late heartbeat of it comes, and the node asks again on the kept connection; the faulty back end writes its earlier "well" once more before the true 503, and the node believes it.

Cause: answers to health checks bear no attempt id, only the instance's name, and that does not tell an earlier answer from this one.

Before, OwnerTest.HealthAnswerRepeatedAfterTheLeave_DoesNotBringItBack: the back end was known again, and a call was sent to it. After: passes; nothing earlier can come on a new connection. OwnerTest.HealthAnswer_BringsTheBackEndBack shows that a true answer still does. Checks are rare: one after a start and one for each unproved heartbeat. An answer that is late on that connection bears no attempt id, so no call takes it for its own.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -151,7 +151,9 @@
     std::chrono::milliseconds timeout,
     const ExchangeOptions& exchange) {
   const Instant deadline = Now() + timeout;
-  auto connection = this->Take(deadline, exchange.id);
+  auto connection = exchange.on_new_connection
+                        ? this->Connect(deadline)
+                        : this->Take(deadline, exchange.id);
   if (!connection) {
     return tl::unexpected(connection.error());
   }
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -56,6 +56,8 @@
   // Names the request in its answer. No connection carries the same id twice,
   // so that an earlier answer that comes once more is not taken for this one.
   std::string id;
+  // On a new connection: for a request whose answers bear no id.
+  bool on_new_connection = false;
   // False for an answer that belongs to another request: it is read past.
   std::function<bool(const HttpResponse&)> belongs;
   // Asked when a connection is there, right before the first byte: what was
--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -418,7 +418,10 @@
   HttpRequest request;
   request.target = health_path;
   const Instant asked = Now();
-  const auto answer = this->link.Send({told.address}, request, kConfirmTimeout);
+  ExchangeOptions exchange;
+  exchange.on_new_connection = true;
+  const auto answer =
+      this->link.Send({told.address}, request, kConfirmTimeout, exchange);
   const Instant now = Now();
   const auto instance =
       answer ? this->platform.WellInstance(*answer) : std::nullopt;
--- a/tests/sidecar/owner_test.cc
+++ b/tests/sidecar/owner_test.cc
@@ -1,5 +1,5 @@
 // The owner beside a faulty back end: which of the answers on a kept connection
-// is taken for the answer to a call.
+// is taken for the answer to a call or a health check.
 
 #include "src/sidecar/owner.h"
 
@@ -61,9 +61,17 @@
   void WithBackEnd(ScriptedBackEnd::Script script, Work work) {
     this->back_end =
         std::make_unique<ScriptedBackEnd>(this->loop, std::move(script));
-    this->loop.Spawn([this, work] {
+    this->Run([this, work] {
       this->Beat();
       work();
+    });
+  }
+
+  // Runs `work` in a fiber until it ends; the back end is there.
+  template <typename Work>
+  void Run(Work work) {
+    this->loop.Spawn([this, work] {
+      work();
       this->owner.Close();
       this->back_end->Close();
       this->loop.Stop();
@@ -71,17 +79,19 @@
     this->loop.Run();
   }
 
-  void Beat() {
+  Heartbeat BeatOf(const std::string& instance) {
     Heartbeat beat;
-    beat.instance = "i-1";
+    beat.instance = instance;
     beat.born_ms = 1000;
     beat.sequence = ++this->beats;
     beat.service = {"claims"};
     beat.address = this->back_end->address();
     beat.slots = 4;
-    this->owner.OnHeartbeat(beat);
+    return beat;
   }
 
+  void Beat() { this->owner.OnHeartbeat(this->BeatOf("i-1")); }
+
   wire::CallReply Call(const std::string& attempt_id) {
     wire::CallRequest request;
     request.service_name = "claims";
@@ -119,6 +129,46 @@
   std::int64_t sends = 0;
 };
 
+// Asked about the back end before it, the back end says its name; asked after
+// its leave, it says so again before the true answer.
+TEST_F(OwnerTest, HealthAnswerRepeatedAfterTheLeave_DoesNotBringItBack) {
+  const std::string well = Answer("200 OK\r\nX-Instance-Id: i-1", "");
+  bool left = false;
+  this->back_end = std::make_unique<ScriptedBackEnd>(
+      this->loop, [&](const HttpRequest&, int nth) -> std::vector<Part> {
+        const std::string leaving = Answer("503 Service Unavailable", "");
+        if (!left) {
+          return {{well}};
+        }
+        return nth == 0 ? std::vector<Part>{{leaving}}
+                        : std::vector<Part>{{well}, {leaving}};
+      });
+  this->Run([&] {
+    this->owner.RunConfirm(this->BeatOf("i-0"), "/health");
+    this->owner.OnGoodbye("i-1");
+    left = true;
+    const Heartbeat late = this->BeatOf("i-1");
+    EXPECT_EQ(this->owner.OnHeartbeat(late), HeartbeatVerdict::kUnproved);
+    this->owner.RunConfirm(late, "/health");
+    EXPECT_FALSE(this->owner.back_end().has_value());
+    ExpectNotRun(this->Call("a-1"));
+  });
+}
+
+TEST_F(OwnerTest, HealthAnswer_BringsTheBackEndBack) {
+  this->back_end = std::make_unique<ScriptedBackEnd>(
+      this->loop, [](const HttpRequest& request, int) -> std::vector<Part> {
+        return request.target == "/health"
+                   ? std::vector<Part>{{Answer("200 OK\r\nX-Instance-Id: i-1",
+                                               "")}}
+                   : std::vector<Part>{{Success("a-1")}};
+      });
+  this->Run([&] {
+    this->owner.RunConfirm(this->BeatOf("i-1"), "/health");
+    ExpectRan(this->Call("a-1"), "a-1");
+  });
+}
+
 class RepeatedRefusalTest : public OwnerTest,
                             public testing::WithParamInterface<Refusal> {
  protected:
