--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -276,8 +276,14 @@
   const HttpRequest out =
       this->platform.ToBackEnd(request, call.instance, left);
   ExchangeOptions exchange;
+  exchange.id = request.attempt_id;
   exchange.belongs = [this, &request](const HttpResponse& answer) {
-    return this->platform.IsFor(answer, request.attempt_id);
+    const bool ours = this->platform.IsFor(answer, request.attempt_id);
+    if (!ours) {
+      this->events.Write("stray answer", {{"id", request.attempt_id},
+                                          {"status", answer.status}});
+    }
+    return ours;
   };
   std::optional<wire::CallReply> withdrawn;
   exchange.may_send = [this, &call, &withdrawn, checked = Now()] {
@@ -412,7 +418,10 @@
   HttpRequest request;
   request.target = health_path;
   const Instant asked = Now();
-  const auto answer = this->link.Send({told.address}, request, kConfirmTimeout);
+  ExchangeOptions exchange;
+  exchange.on_new_connection = true;
+  const auto answer =
+      this->link.Send({told.address}, request, kConfirmTimeout, exchange);
   const Instant now = Now();
   const auto instance =
       answer ? this->platform.WellInstance(*answer) : std::nullopt;
