Requests that have come are answered when a server closes its connections

What callers saw: on a planned stop, connections that were reset with a request on them: one whole and unread in a kept connection, one half sent, and one in a connection that the listener had not handed out yet.

Cause: CloseIdle closed every connection without a complete head, though bytes of a request, or all of it, may have come since the last answer; between the end of the read and the connection's fiber even a request that the process had read. Drain closed the listener with connections waiting in it, which resets them. And answers told callers to leave only after 2.3 s of a stop, at the moment at which idle connections were closed, so that the close met requests on their way.

Change: a connection is idle only if it has had an answer and nothing has come since, neither in the socket nor in the parser. Drain takes what waits in the listener first. Answers end their connection from the signal on; idle connections are closed at the end of a stop, when callers have had 2.3 s to leave, not amid it.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -21,6 +21,7 @@
 
 using BeastRequest = http::request<http::string_body>;
 using BeastResponse = http::response<http::string_body>;
+using RequestParser = http::request_parser<http::string_body>;
 
 std::string ToString(beast::string_view text) {
   return std::string(text.data(), text.size());
@@ -90,9 +91,19 @@
     return error != boost::asio::error::would_block && (error || read == 0);
   }
 
+  // Nothing has come since the last answer: may be closed without loss.
+  bool IsIdle() {
+    error_code error;
+    return this->answered && !this->answering && this->buffer.size() == 0 &&
+           !(this->parser != nullptr && this->parser->got_some()) &&
+           this->stream.socket().available(error) == 0;
+  }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  bool idle = true;  // Between requests: may be closed without loss.
+  const RequestParser* parser = nullptr;  // While a request's head is due.
+  bool answering = false;                 // A request has been read whole.
+  bool answered = false;                  // One was, on this connection.
 };
 
 HttpServer::HttpServer(IoLoop& io_loop,
@@ -130,17 +141,37 @@
       if (this->closed) {
         return;  // It was accepted while the server closed.
       }
-      auto connection = std::make_shared<Connection>(std::move(socket));
-      this->connections.insert(connection);
-      this->loop.SpawnHere([this, connection] { this->Serve(connection); });
+      this->Take(std::move(socket));
     }
   });
   return this->acceptor->local_endpoint();
 }
 
+void HttpServer::Take(tcp::socket socket) {
+  auto connection = std::make_shared<Connection>(std::move(socket));
+  this->connections.insert(connection);
+  this->loop.SpawnHere([this, connection] { this->Serve(connection); });
+}
+
+// Closing a listener resets the connections that wait in it.
+void HttpServer::TakeWaiting() {
+  error_code error;
+  this->acceptor->non_blocking(true, error);
+  while (!error && this->connections.size() < this->limits.max_connections) {
+    tcp::socket socket(this->loop.context());
+    this->acceptor->accept(socket, error);
+    if (!error) {
+      this->Take(std::move(socket));
+    }
+  }
+}
+
 void HttpServer::Drain() {
   this->draining = true;
-  if (this->acceptor) {
+  if (this->acceptor && this->acceptor->is_open()) {
+    if (!this->closed) {
+      this->TakeWaiting();
+    }
     error_code ignored;
     this->acceptor->close(ignored);
   }
@@ -148,7 +179,7 @@
 
 void HttpServer::CloseIdle() {
   for (const auto& connection : this->connections) {
-    if (connection->idle) {
+    if (connection->IsIdle()) {
       connection->Close();
     }
   }
@@ -174,29 +205,31 @@
 // One request and its answer; false when the connection is to end.
 bool HttpServer::ServeOne(const std::shared_ptr<Connection>& held) {
   Connection& connection = *held;
-  connection.idle = true;
-  http::request_parser<http::string_body> parser;
+  connection.answering = false;
+  RequestParser parser;
   parser.body_limit(this->limits.max_body_bytes);
   parser.header_limit(this->limits.max_header_bytes);
   connection.buffer.max_size(this->limits.max_header_bytes +
                              kMostUnparsedBytes);
   connection.stream.expires_after(this->limits.idle_timeout);
+  connection.parser = &parser;
   const auto header = Await<std::size_t>([&](auto done) {
     http::async_read_header(connection.stream, connection.buffer, parser,
                             std::move(done));
   });
-  if (!header) {
-    return false;
+  IoResult<std::size_t> body = header;
+  if (header) {
+    connection.stream.expires_after(this->limits.read_timeout);
+    body = Await<std::size_t>([&](auto done) {
+      http::async_read(connection.stream, connection.buffer, parser,
+                       std::move(done));
+    });
   }
-  connection.idle = false;
-  connection.stream.expires_after(this->limits.read_timeout);
-  const auto body = Await<std::size_t>([&](auto done) {
-    http::async_read(connection.stream, connection.buffer, parser,
-                     std::move(done));
-  });
+  connection.parser = nullptr;
   if (!body) {
     return false;
   }
+  connection.answering = true;
   connection.stream.expires_never();
   const unsigned version = parser.get().version();
   const bool keep_alive = parser.get().keep_alive();
@@ -212,6 +245,8 @@
   const auto written = Await<std::size_t>([&](auto done) {
     http::async_write(connection.stream, response, std::move(done));
   });
+  connection.answering = false;
+  connection.answered = true;
   return written && response.keep_alive();
 }
 
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -70,7 +70,7 @@
   // request that is already on its way is still answered.
   void Drain();
 
-  // Closes the connections that wait for a request.
+  // Closes the connections on which nothing has come since the last answer.
   void CloseIdle();
 
   // Cuts what is left.
@@ -81,6 +81,8 @@
  private:
   struct Connection;
 
+  void TakeWaiting();
+  void Take(boost::asio::ip::tcp::socket socket);
   void Serve(const std::shared_ptr<Connection>& connection);
   bool ServeOne(const std::shared_ptr<Connection>& connection);
   std::optional<HttpResponse> Answer(
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -585,6 +585,8 @@
   this->stopping = true;
   this->events.Write("stopping",
                      {{"calls", static_cast<std::int64_t>(in_progress())}});
+  // Callers leave with their answers; later it would be amid their requests.
+  this->front.CloseAfterAnswer();
   // The back end stays and its room is missed: calls of other nodes are taken
   // until this node's own callers are about to be gone.
   const auto sleep_until = [this, until](Instant at) {
@@ -597,13 +599,12 @@
   // New connections are still taken: the back end makes calls of its own for
   // what it runs.
   this->entry.RefuseCallers();
-  this->front.CloseAfterAnswer();
-  this->front.CloseIdle();
   while (in_progress() > 0 && Now() < until) {
     this->loop.SleepFor(kShutdownStep);
   }
-  // What has been read is still answered; what comes now finds no listener.
+  // What has come is still answered; what comes now finds no listener.
   this->front.Drain();
+  this->front.CloseIdle();
   this->loop.SleepFor(kLastAnswers);
   this->membership.Leave();
   this->events.Write(
--- a/tests/adapters/http_server_test.cc
+++ b/tests/adapters/http_server_test.cc
@@ -1,4 +1,4 @@
-// The HTTP server against callers that never end a request.
+// The HTTP server against callers that never end a request, and as it stops.
 
 #include "src/adapters/http_server.h"
 
@@ -6,12 +6,14 @@
 
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <functional>
 #include <string>
 
 namespace tanagerledge {
 namespace {
 
 using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 struct EndlessRequest {
@@ -97,5 +99,99 @@
       return request.param.name;
     });
 
+// A server that stops, and a caller on the same loop: the server has no turn
+// between two steps of the caller that do not wait.
+class StoppingServerTest : public testing::Test {
+ protected:
+  static constexpr std::string_view kRequest =
+      "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  static constexpr std::string_view kBody = "the whole body";
+
+  // Runs the steps of a caller that has just opened a connection.
+  void Run(const std::function<void(tcp::socket& caller)>& steps) {
+    const auto bound = this->server.Accept(*ParseAddress("127.0.0.1:0"));
+    ASSERT_TRUE(bound.has_value());
+    this->loop.Spawn([&] {
+      this->loop.SleepFor(milliseconds(20));  // Until the server accepts.
+      tcp::socket caller(this->loop.context());
+      caller.open(tcp::v4());
+      caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+      caller.connect(*bound);
+      steps(caller);
+      this->server.Close();
+      this->loop.Stop();
+    });
+    this->loop.Run();
+  }
+
+  static void Send(tcp::socket& caller) {
+    boost::asio::write(caller, boost::asio::buffer(kRequest));
+  }
+
+  // What the caller reads until `end` has come or the connection has ended.
+  std::string ReadUntil(tcp::socket& caller,
+                        std::string_view end,
+                        milliseconds pause = milliseconds(0)) {
+    std::string all;
+    std::string chunk(16 * 1024, '\0');
+    IoResult<std::size_t> read;
+    while (!read.error && !(all.size() > end.size() && all.ends_with(end))) {
+      read = Await<std::size_t>([&](auto handler) {
+        caller.async_read_some(boost::asio::buffer(chunk), std::move(handler));
+      });
+      all.append(chunk, 0, read.value);
+      this->loop.SleepFor(pause);
+    }
+    return all;
+  }
+
+  IoLoop loop;
+  std::string body{kBody};
+  HttpServer server{
+      this->loop, HttpServer::Handler([this](const HttpRequest&) {
+        return std::optional(MakeResponse(200, "a/b", this->body));
+      })};
+};
+
+TEST_F(StoppingServerTest, IdleConnectionClosed_RequestUnreadInIt_IsAnswered) {
+  this->Run([this](tcp::socket& caller) {
+    Send(caller);
+    EXPECT_NE(this->ReadUntil(caller, kBody), "");
+    Send(caller);
+    this->server.CloseIdle();
+    EXPECT_NE(this->ReadUntil(caller, kBody), "");
+  });
+}
+
+TEST_F(StoppingServerTest, IdleConnectionClosed_RequestHalfSent_IsAnswered) {
+  this->Run([this](tcp::socket& caller) {
+    boost::asio::write(caller, boost::asio::buffer(kRequest.substr(0, 9)));
+    this->loop.SleepFor(milliseconds(20));
+    this->server.CloseIdle();
+    boost::asio::write(caller, boost::asio::buffer(kRequest.substr(9)));
+    EXPECT_NE(this->ReadUntil(caller, kBody), "");
+  });
+}
+
+TEST_F(StoppingServerTest, IdleConnectionsClosed_NothingSent_CallerSeesTheEnd) {
+  this->Run([this](tcp::socket& caller) {
+    Send(caller);
+    EXPECT_NE(this->ReadUntil(caller, kBody), "");
+    this->loop.SleepFor(milliseconds(20));
+    this->server.CloseIdle();
+    EXPECT_EQ(this->ReadUntil(caller, kBody), "");
+    this->loop.SleepFor(milliseconds(20));
+    EXPECT_EQ(this->server.open_connections(), 0U);
+  });
+}
+
+TEST_F(StoppingServerTest, ListenerClosed_RequestOfAWaitingCaller_IsAnswered) {
+  this->Run([this](tcp::socket& caller) {
+    Send(caller);
+    this->server.Drain();
+    EXPECT_NE(this->ReadUntil(caller, kBody), "");
+  });
+}
+
 }  // namespace
 }  // namespace tanagerledge
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -16,6 +16,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "fakes/log_store.h"
@@ -219,6 +220,16 @@
     return this->TrySend(entry.front_address, request);
   }
 
+  // Begins to stop a node; the future holds how long that took.
+  std::future<milliseconds> Stop(std::size_t index) {
+    return std::async(std::launch::async, [this, index] {
+      const Instant began = std::chrono::steady_clock::now();
+      this->sidecars[index]->Shutdown();
+      return std::chrono::duration_cast<milliseconds>(
+          std::chrono::steady_clock::now() - began);
+    });
+  }
+
   // A second node with the back end of claims; true once `entry` reaches it.
   bool StartClaimsFor(const Settings& entry) {
     const Settings& claims = this->Start("claims", {entry.address});
@@ -505,6 +516,29 @@
   stop.get();
 }
 
+// So that no caller sends a request as its connection is closed.
+TEST_F(SidecarTest, AnswerAmidTheStop_EndsItsConnection) {
+  this->grace = milliseconds(6000);
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  this->Beat(archive, this->first_back_end);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+  EXPECT_EQ(this->Call(archive, "archive.example").Header("Connection"), "");
+  auto stop = this->Stop(0);
+  std::this_thread::sleep_for(milliseconds(200));
+  const HttpResponse answer = this->Call(archive, "archive.example");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.Header("Connection"), "close");
+  stop.get();
+}
+
+TEST_F(SidecarTest, StoppedRightAfterItsStart_EndsInTime) {
+  this->grace = milliseconds(6000);
+  this->Start("archive");
+  EXPECT_LT(this->Stop(0).get(), milliseconds(3500));
+}
+
 TEST_F(SidecarTest, SpoiltConfiguration_LeavesTheOneInForce) {
   const Settings& archive = this->Start("archive");
   this->Configure(2);
