A stop waits until its last answers are written and read

What callers saw: the end of a stop cut an answer that was being written; and an answer written whole did not arrive whole when the caller had sent more behind its request.

Cause: a call counted as under way until its answer was there, not until it was written; 60 ms later all connections were closed. And a socket that is closed with unread bytes is reset, which drops what it still has to send.

Change: the server counts requests that are read and not answered to the last byte; a stop waits for them, at most until half a second before the grace ends, and 200 ms for requests that are still coming. A connection that the server ends with an answer is half closed first and read until the caller has closed it, a second at most. `stopped` says how long the stop took, and how many requests were unanswered, answers not yet taken and connections open at its end.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -1,5 +1,7 @@
 #include "src/adapters/http_server.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
@@ -23,6 +25,10 @@
 using BeastResponse = http::response<http::string_body>;
 using RequestParser = http::request_parser<http::string_body>;
 
+// A caller closes once it has read its last answer: on the same machine within
+// some ms, and not at all if it hangs.
+constexpr std::chrono::milliseconds kLinger{1000};
+
 std::string ToString(beast::string_view text) {
   return std::string(text.data(), text.size());
 }
@@ -94,16 +100,34 @@
   // Nothing has come since the last answer: may be closed without loss.
   bool IsIdle() {
     error_code error;
-    return this->answered && !this->answering && this->buffer.size() == 0 &&
+    return this->answered && !this->answering && !this->ended_by_us &&
+           this->buffer.size() == 0 &&
            !(this->parser != nullptr && this->parser->got_some()) &&
            this->stream.socket().available(error) == 0;
   }
 
+  // Ends the connection once the caller has its last answer. A socket that is
+  // closed with unread bytes drops what it still has to send.
+  void Linger() {
+    error_code ignored;
+    this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    this->stream.expires_after(kLinger);
+    std::array<char, 1024> unread{};
+    IoResult<std::size_t> read;
+    while (!read.error) {
+      read = Await<std::size_t>([&](auto done) {
+        this->stream.async_read_some(boost::asio::buffer(unread),
+                                     std::move(done));
+      });
+    }
+  }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   const RequestParser* parser = nullptr;  // While a request's head is due.
   bool answering = false;                 // A request has been read whole.
   bool answered = false;                  // One was, on this connection.
+  bool ended_by_us = false;               // With its last answer.
 };
 
 HttpServer::HttpServer(IoLoop& io_loop,
@@ -185,6 +209,18 @@
   }
 }
 
+std::size_t HttpServer::lingering() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      this->connections,
+      [](const auto& connection) { return connection->ended_by_us; }));
+}
+
+std::size_t HttpServer::unanswered() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      this->connections,
+      [](const auto& connection) { return connection->answering; }));
+}
+
 void HttpServer::Close() {
   this->closed = true;
   this->Drain();
@@ -198,6 +234,9 @@
   connection->stream.socket().set_option(tcp::no_delay(true), ignored);
   while (this->ServeOne(connection)) {
   }
+  if (connection->ended_by_us) {
+    connection->Linger();
+  }
   connection->Close();
   this->connections.erase(connection);
 }
@@ -247,6 +286,7 @@
   });
   connection.answering = false;
   connection.answered = true;
+  connection.ended_by_us = written && keep_alive && !response.keep_alive();
   return written && response.keep_alive();
 }
 
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -77,6 +77,10 @@
   void Close();
 
   std::size_t open_connections() const { return this->connections.size(); }
+  // Requests that have been read whole and are not answered to the last byte.
+  std::size_t unanswered() const;
+  // Connections whose last answer is written and may not have arrived.
+  std::size_t lingering() const;
 
  private:
   struct Connection;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -34,8 +34,9 @@
 // work in the last sixth of the platform's 6 s may be cut.
 constexpr milliseconds kGraceMargin{1000};
 constexpr milliseconds kShutdownStep{20};
-// A refusal is written within some ms of the request.
-constexpr milliseconds kLastAnswers{60};
+// The platform owes no answer to a request that was sent later than 200 ms
+// before its connection closes.
+constexpr milliseconds kLastRequests{200};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
@@ -576,9 +577,9 @@
 
 void Sidecar::RunShutdown() {
   const Instant began = Now();
-  const Instant until = began +
-                        std::max(milliseconds(0), this->settings.bounds.grace) -
-                        kGraceMargin;
+  const milliseconds grace =
+      std::max(milliseconds(0), this->settings.bounds.grace);
+  const Instant until = began + grace - kGraceMargin;
   const auto in_progress = [this] {
     return this->owner.calls_in_progress() + this->entry.calls_in_progress();
   };
@@ -603,13 +604,15 @@
     this->loop.SleepFor(kShutdownStep);
   }
   // What has come is still answered; what comes now finds no listener.
-  this->front.Drain();
-  this->front.CloseIdle();
-  this->loop.SleepFor(kLastAnswers);
+  this->EndConnections(began + grace - kGraceMargin / 2);
   this->membership.Leave();
   this->events.Write(
       "stopped",
-      {{"calls", static_cast<std::int64_t>(in_progress())},
+      {{"took_ms", duration_cast<milliseconds>(Now() - began).count()},
+       {"calls", static_cast<std::int64_t>(in_progress())},
+       {"unanswered", static_cast<std::int64_t>(this->front.unanswered())},
+       {"lingering", static_cast<std::int64_t>(this->front.lingering())},
+       {"callers", static_cast<std::int64_t>(this->front.open_connections())},
        {"lines_dropped", static_cast<std::int64_t>(this->events.dropped())}});
   this->events.Flush();
   this->membership.Stop();
@@ -624,4 +627,18 @@
   this->loop.Stop();
 }
 
+// Until answers are written, and requests that have come are answered.
+void Sidecar::EndConnections(Instant end_by) {
+  this->front.Drain();
+  const Instant last_request = Now() + kLastRequests;
+  const auto due = [&] {
+    this->front.CloseIdle();
+    return this->front.unanswered() > 0 || this->front.lingering() > 0 ||
+           (this->front.open_connections() > 0 && Now() < last_request);
+  };
+  while (due() && Now() < end_by) {
+    this->loop.SleepFor(kShutdownStep);
+  }
+}
+
 }  // namespace tanagerledge
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -73,6 +73,7 @@
   bool IsReady() const;
   void ShowMetrics();
   void RunShutdown();
+  void EndConnections(Instant end_by);
 
   Settings settings;
   const PlatformPort& platform;
--- a/tests/adapters/http_server_test.cc
+++ b/tests/adapters/http_server_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <functional>
@@ -193,5 +194,18 @@
   });
 }
 
+// Closing a socket with unread bytes drops what it still has to send.
+TEST_F(StoppingServerTest, LastAnswer_CallerSentMoreMeanwhile_ArrivesWhole) {
+  this->body = std::string(2'000'000, 'a') + "end";
+  this->server.CloseAfterAnswer();
+  this->Run([this](tcp::socket& caller) {
+    Send(caller);
+    this->loop.SleepFor(milliseconds(20));
+    Send(caller);
+    EXPECT_GT(this->ReadUntil(caller, "end", milliseconds(1)).size(),
+              this->body.size());
+  });
+}
+
 }  // namespace
 }  // namespace tanagerledge
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
 #include <functional>
@@ -72,6 +74,9 @@
     if (this->lose_answers) {
       return std::nullopt;
     }
+    if (this->answer_bytes > 0) {
+      response.body.assign(this->answer_bytes, '~');
+    }
     response.headers.push_back(
         {"X-Attempt-Id", std::string(request.Header("X-Attempt-Id"))});
     response.headers.push_back({"X-Server-Stamp", "stamp-" + this->instance});
@@ -88,6 +93,7 @@
   std::atomic<bool> lose_answers{false};
   std::atomic<bool> leaving{false};  // As health checks are told.
   std::atomic<milliseconds> work{milliseconds(0)};
+  std::atomic<std::size_t> answer_bytes{0};  // Unless 0.
   IoLoop& loop;
   HttpServer server;
 
@@ -96,6 +102,45 @@
   std::vector<HttpRequest> ran;
 };
 
+// Three of them are more than the sockets of both sides hold.
+constexpr std::size_t kLargeAnswer = 1900 * 1024;
+constexpr char kLargeAnswerByte = '~';
+
+// A caller that takes its answers slowly, in the calling thread.
+class SlowReader {
+ public:
+  SlowReader(boost::asio::io_context& io, const std::string& address)
+      : socket(io) {
+    socket.open(boost::asio::ip::tcp::v4());
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    socket.connect(ParseAddress(address).value());
+  }
+
+  void Write(const std::string& bytes) {
+    boost::asio::write(this->socket, boost::asio::buffer(bytes));
+  }
+
+  // Reads until the connection ends, some 5 MB a second; the bytes that belong
+  // to large answers.
+  std::size_t ReadToTheEnd() {
+    std::string chunk(100 * 1024, '\0');
+    std::size_t all = 0;
+    boost::system::error_code error;
+    while (!error) {
+      chunk.resize(
+          boost::asio::read(this->socket, boost::asio::buffer(chunk), error));
+      all +=
+          static_cast<std::size_t>(std::ranges::count(chunk, kLargeAnswerByte));
+      chunk.resize(chunk.capacity());
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    return all;
+  }
+
+ private:
+  boost::asio::ip::tcp::socket socket;
+};
+
 class SidecarTest : public ::testing::Test {
  protected:
   SidecarTest()
@@ -516,6 +561,32 @@
   stop.get();
 }
 
+// Its calls have ended long before.
+TEST_F(SidecarTest, SlowReaderAmidTheStop_GetsWholeAnswers) {
+  this->grace = milliseconds(6000);
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  this->Beat(archive, this->first_back_end);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+  this->first_back_end.answer_bytes = kLargeAnswer;
+  boost::asio::io_context io;
+  SlowReader caller(io, archive.front_address);
+  for (int call = 0; call < 4; ++call) {
+    caller.Write(
+        "GET /x/1 HTTP/1.1\r\nHost: archive.example\r\n"
+        "X-Attempt-Id: large-" +
+        std::to_string(call) + "\r\nX-Deadline-Ms: 5000\r\n\r\n");
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  auto stop = this->Stop(0);
+  std::this_thread::sleep_for(milliseconds(2200));
+  const std::size_t read = caller.ReadToTheEnd();
+  EXPECT_GE(read, 2 * kLargeAnswer);
+  EXPECT_EQ(read % kLargeAnswer, 0U) << read;
+  EXPECT_LT(stop.get(), this->grace);
+}
+
 // So that no caller sends a request as its connection is closed.
 TEST_F(SidecarTest, AnswerAmidTheStop_EndsItsConnection) {
   this->grace = milliseconds(6000);
