What a stopping node takes is answered before its end

What callers saw: on a planned stop, in calm, calls that the back end makes late in the grace, and callers' calls with long deadlines, were taken and passed on though they could not end in time, and were cut 5 s after the signal without an answer; so were calls that only waited for a slot then, which had not run.

Cause: time limits of calls knew nothing of the stop, nested calls were taken until the last moment, and at the end of the wait all connections were closed.

Change: StopPlan, pure, says until when a stop does what and up to when a call that is taken may last. Entry and owner bring the limit of what they take forward to 0.2 s before the answers are due (five sixths of the grace), so that the back end itself answers in time, and refuse at once, as not run, what takes longer by what such calls usually take. What is under way when answers are due is withdrawn: a call that waits anywhere is refused as not run, one at a back end is answered as one that may have run. Only then the connections are closed. Links to other nodes end once replies are written and read. `calls given up` says how many calls were under way, at work and waiting; `stopped` counts also what the stop refused, links to nodes and bytes not written to them. A second stop of a node does nothing.

The stand-in back end answers 504 at the deadline that it is given, as back ends do; the tests' routes last 10 s, longer than any deadline that earlier tests send, so that these are judged as before.

--- a/src/adapters/peer_transport.cc
+++ b/src/adapters/peer_transport.cc
@@ -189,6 +189,24 @@
     this->socket.close(ignored);
   }
 
+  void GiveUpRequests() {
+    for (const auto& [id, waiting] : this->pending) {
+      const PeerErrorKind kind = KindOfLoss(*waiting);
+      this->Unqueue(id);
+      waiting->slot.Give(tl::unexpected(PeerError{kind, "given up"}));
+    }
+    this->pending.clear();
+  }
+
+  void Finish() {
+    this->finishing = true;
+    this->EndIfWritten();
+  }
+
+  std::size_t Unwritten() const {
+    return this->writing.size() + this->queued_bytes;
+  }
+
   const NodeId& Peer() const { return this->peer; }
   bool IsOpen() const { return this->established && !this->failed; }
   std::optional<Incarnation> PeerIncarnation() const {
@@ -266,6 +284,9 @@
   // Writing -----------------------------------------------------------------
 
   void QueueNow(QueuedFrame entry) {
+    if (this->write_ended) {
+      return;
+    }
     this->queued_bytes += entry.bytes.size();
     this->queued.push_back(std::move(entry));
     if (this->established) {
@@ -310,10 +331,21 @@
             self->Close();
           } else {
             self->Flush();
+            self->EndIfWritten();
           }
         });
   }
 
+  // The peer closes the connection when it has read all.
+  void EndIfWritten() {
+    if (!this->finishing || this->Unwritten() > 0 || this->write_ended) {
+      return;
+    }
+    this->write_ended = true;
+    error_code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
   // Reading -----------------------------------------------------------------
 
   void ReadFrames() {
@@ -458,8 +490,10 @@
   bool established = false;
   bool greeted = false;
   bool failed = false;
-  Instant heard{};        // When bytes came last.
-  Instant quiet_since{};  // When replies became due after none were.
+  bool finishing = false;    // Ends once all is written.
+  bool write_ended = false;  // All was written, and the peer was told.
+  Instant heard{};           // When bytes came last.
+  Instant quiet_since{};     // When replies became due after none were.
 
   std::deque<QueuedFrame> queued;  // Waits for the write in progress.
   std::size_t queued_bytes = 0;
@@ -490,7 +524,7 @@
   }
   this->acceptor = std::make_unique<tcp::acceptor>(std::move(*listening));
   this->loop.Spawn([this] {
-    while (!this->closed) {
+    while (!this->closed && !this->finishing) {
       tcp::socket socket(this->loop.context());
       const error_code error = AwaitError([&](auto handler) {
         this->acceptor->async_accept(socket, std::move(handler));
@@ -509,12 +543,47 @@
   return this->acceptor->local_endpoint();
 }
 
-void PeerTransport::Close() {
-  this->closed = true;
+void PeerTransport::GiveUpRequests() {
+  for (const auto& [node, connection] : this->outgoing) {
+    connection->GiveUpRequests();
+  }
+  for (const auto& connection : this->incoming) {
+    connection->GiveUpRequests();
+  }
+}
+
+void PeerTransport::Finish() {
+  this->finishing = true;
+  this->CloseAcceptor();
+  for (const auto& [node, connection] : this->outgoing) {
+    connection->Finish();
+  }
+  for (const auto& connection : this->incoming) {
+    connection->Finish();
+  }
+}
+
+std::size_t PeerTransport::unwritten() const {
+  std::size_t bytes = 0;
+  for (const auto& [node, connection] : this->outgoing) {
+    bytes += connection->Unwritten();
+  }
+  for (const auto& connection : this->incoming) {
+    bytes += connection->Unwritten();
+  }
+  return bytes;
+}
+
+void PeerTransport::CloseAcceptor() {
   if (this->acceptor) {
     error_code ignored;
     this->acceptor->close(ignored);
   }
+}
+
+void PeerTransport::Close() {
+  this->closed = true;
+  this->CloseAcceptor();
   for (const auto& [node, connection] : this->outgoing) {
     connection->Close();
   }
@@ -538,7 +607,7 @@
 }
 
 void PeerTransport::Connect(const NodeId& to) {
-  if (!this->closed) {
+  if (!this->closed && !this->finishing) {
     this->ConnectionTo(to);
   }
 }
@@ -576,7 +645,7 @@
 void PeerTransport::Send(const NodeId& to,
                          Channel channel,
                          std::string message) {
-  if (!this->closed && message.size() <= kMaxFrameBytes) {
+  if (!this->closed && !this->finishing && message.size() <= kMaxFrameBytes) {
     this->ConnectionTo(to)->Queue({channel, FrameKind::kMessage, 0, message});
   }
 }
@@ -586,7 +655,7 @@
     Channel channel,
     std::string request,
     std::chrono::microseconds timeout) {
-  if (this->closed || request.size() > kMaxFrameBytes) {
+  if (this->closed || this->finishing || request.size() > kMaxFrameBytes) {
     return tl::unexpected(
         PeerError{PeerErrorKind::kNotSent, "closed or oversize"});
   }
--- a/src/adapters/peer_transport.h
+++ b/src/adapters/peer_transport.h
@@ -94,6 +94,18 @@
   // The start of the node at the other end; nothing before its Hello came.
   std::optional<Incarnation> IncarnationOf(const NodeId& to) const;
 
+  // Fibers that wait for a reply get kLost or kNotSent.
+  void GiveUpRequests();
+
+  // No new connections; those that stand end once all is written and their peer
+  // has read it.
+  void Finish();
+  std::size_t connections() const {
+    return this->outgoing.size() + this->incoming.size();
+  }
+  // Bytes that wait to be handed to the sockets.
+  std::size_t unwritten() const;
+
   // Closes all connections: fibers that wait get kLost or kNotSent.
   void Close();
 
@@ -108,6 +120,7 @@
  private:
   friend class PeerConnection;
 
+  void CloseAcceptor();
   std::shared_ptr<PeerConnection> ConnectionTo(const NodeId& to);
   void Forget(const PeerConnection& connection);
 
@@ -118,6 +131,7 @@
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   std::unordered_map<NodeId, std::shared_ptr<PeerConnection>> outgoing;
   std::set<std::shared_ptr<PeerConnection>> incoming;
+  bool finishing = false;
   bool closed = false;
 };
 
--- a/src/sidecar/mesh_entry.cc
+++ b/src/sidecar/mesh_entry.cc
@@ -112,9 +112,9 @@
     return this->platform.ToCaller(
         {Outcome::kNotRun, Reason::kNodeNotReady, kUntilReady});
   }
-  if (this->refusing_callers && caller->parent_id.empty()) {
-    return this->platform.ToCaller(
-        {Outcome::kNotRun, Reason::kShuttingDown, kNextStart});
+  const bool callers_left = this->stop && Now() >= this->stop->callers_until();
+  if (this->refusing_all || (callers_left && caller->parent_id.empty())) {
+    return this->RefuseByStop();
   }
   const auto call = std::make_shared<Call>();
   call->mesh = this->mesh;
@@ -132,6 +132,14 @@
     longest = std::min(longest, route.timeout);
   }
   call->deadline = call->arrived + longest;
+  if (this->stop) {
+    const auto limit = this->stop->LimitOf(
+        call->deadline, this->UsualWork(route), call->arrived);
+    if (!limit) {
+      return this->RefuseByStop();
+    }
+    call->deadline = *limit;
+  }
   call->target = call->arrived + std::min(longest, route.target);
   wire::CallRequest& message = call->message;
   message.service_name = this->split.Next(route).value;
@@ -149,21 +157,47 @@
   call->parent_repeats = this->owner.RunsRepeat(caller->parent_id);
   message.release = static_cast<std::int64_t>(call->mesh->version());
   departure.OnLeave([this, call] { this->Leave(*call); });
-  ++this->in_progress;
+  this->under_way.insert(call);
   wire::CallReply reply = this->RunAttempts(*call);
-  --this->in_progress;
+  this->under_way.erase(call);
   return this->Finish(*call, reply);
 }
 
+HttpResponse MeshEntry::RefuseByStop() {
+  ++this->refused;
+  return this->platform.ToCaller(
+      {Outcome::kNotRun, Reason::kShuttingDown, kNextStart});
+}
+
 void MeshEntry::Leave(Call& call) {
   call.left = true;
-  if (!call.at) {
-    return;
-  }
-  if (*call.at == this->config.self) {
+  if (call.at == this->config.self) {
     this->owner.Cancel(this->config.self, call.message.send_id);
-    return;
+  } else if (call.at) {
+    this->Withdraw(call);
   }
+}
+
+void MeshEntry::OnNodeStopping(const StopPlan& plan) {
+  this->stop = plan;
+  const Instant now = Now();
+  // Where they are now they keep their limit; attempts to come get this one.
+  std::ranges::for_each(this->under_way, [&](const auto& call) {
+    call->deadline = plan.LimitOf(call->deadline, microseconds{0}, now)
+                         .value_or(call->deadline);
+  });
+}
+
+void MeshEntry::GiveUp() {
+  this->giving_up = true;
+  std::ranges::for_each(this->under_way, [this](const auto& call) {
+    if (call->at && call->at != this->config.self) {
+      this->Withdraw(*call);
+    }
+  });
+}
+
+void MeshEntry::Withdraw(const Call& call) {
   wire::SendCancel cancel;
   cancel.send_id = call.message.send_id;
   this->peers.Send(*call.at, Channel::kSend, Encode(cancel));
@@ -220,6 +254,11 @@
   learn(usual.work_us, static_cast<double>(reply.execution_us));
 }
 
+microseconds MeshEntry::UsualWork(const MeshRoute& route) {
+  return microseconds(
+      static_cast<std::int64_t>(this->costs[route.name].work_us));
+}
+
 // Attempts --------------------------------------------------------------------
 
 wire::CallReply MeshEntry::RunAttempts(Call& call) {
@@ -238,9 +277,8 @@
     ask.tried = call.tried;
     ask.target = std::max(microseconds{0},
                           duration_cast<microseconds>(call.target - now));
-    const RouteCost& usual = this->costs[call.route->name];
-    ask.bytes = static_cast<std::size_t>(usual.bytes);
-    ask.work = microseconds(static_cast<std::int64_t>(usual.work_us));
+    ask.bytes = static_cast<std::size_t>(this->costs[call.route->name].bytes);
+    ask.work = this->UsualWork(*call.route);
     const auto node = this->placement.Choose(ask, now);
     if (!node || now >= call.deadline) {
       break;
@@ -266,6 +304,9 @@
 // Refusals that reached no back end are free to go elsewhere. Anything that may
 // have reached one draws on the fleet's budget, and on the route's attempts.
 bool MeshEntry::MayTryElsewhere(Call& call, const wire::CallReply& reply) {
+  if (this->giving_up) {
+    return false;
+  }
   const Outcome outcome = OutcomeOf(reply);
   const Reason reason = ReasonOf(reply);
   const bool reached =
@@ -359,7 +400,8 @@
   }
   // What may be repeated is soon better off at another node.
   const int most_asks = call.route->idempotent ? 1 : kMostAsks;
-  for (int asks = 0; asks < most_asks && !call.left; ++asks) {
+  for (int asks = 0; asks < most_asks && !call.left && !this->giving_up;
+       ++asks) {
     const auto left = duration_cast<microseconds>(call.deadline - Now());
     if (left.count() <= 0) {
       return MakeReply(Outcome::kUnknown, Reason::kDeadline,
--- a/src/sidecar/mesh_entry.h
+++ b/src/sidecar/mesh_entry.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -25,6 +26,7 @@
 #include "tanagerledge/fleet_retry_budget.h"
 #include "tanagerledge/mesh_config.h"
 #include "tanagerledge/placement.h"
+#include "tanagerledge/stop_plan.h"
 #include "tanagerledge/weighted_split.h"
 
 namespace tanagerledge {
@@ -57,13 +59,17 @@
   void SetConnected(const NodeId& node, bool connected) {
     this->placement.SetConnected(node, connected);
   }
-  // From now on only calls of the own back end are taken: it needs them for
-  // what it runs. Callers are refused, and so come back to the node's next
-  // start.
-  void RefuseCallers() { this->refusing_callers = true; }
+  // From now on only what can be answered before the end is taken; once the
+  // callers should have left, only calls of the own back end, which needs them
+  // for what it runs. Who is refused comes back to the node's next start.
+  void OnNodeStopping(const StopPlan& plan);
+  void RefuseAll() { this->refusing_all = true; }
+  // Withdraws the calls under way: those that wait at a node have not run then.
+  void GiveUp();
   void SetLiveNodes(std::size_t count) { this->retries.SetLiveNodes(count); }
 
-  std::size_t calls_in_progress() const { return this->in_progress; }
+  std::size_t calls_in_progress() const { return this->under_way.size(); }
+  std::int64_t refused_by_stop() const { return this->refused; }
 
  private:
   struct Call;
@@ -79,8 +85,11 @@
   wire::CallReply AskAgain(Call& call, const NodeId& node);
   bool MayTryElsewhere(Call& call, const wire::CallReply& reply);
   HttpResponse Finish(const Call& call, wire::CallReply& reply);
+  HttpResponse RefuseByStop();
   void Leave(Call& call);
+  void Withdraw(const Call& call);
   void Learn(const Call& call, const wire::CallReply& reply);
+  std::chrono::microseconds UsualWork(const MeshRoute& route);
 
   MeshEntryConfig config;
   const PlatformPort& platform;
@@ -94,8 +103,11 @@
   FleetRetryBudget retries;
   std::unordered_map<RouteName, RouteCost> costs;
   std::int64_t last_send;  // Unique over the starts of this node.
-  std::size_t in_progress = 0;
-  bool refusing_callers = false;
+  std::set<std::shared_ptr<Call>> under_way;
+  std::optional<StopPlan> stop;
+  bool refusing_all = false;
+  bool giving_up = false;
+  std::int64_t refused = 0;  // Since this node stops.
 };
 
 }  // namespace tanagerledge
--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -166,6 +166,10 @@
   call->id = ++this->last_id;
   call->deadline = now + microseconds(std::clamp<std::int64_t>(
                              request.remaining_us, 0, kLongestCallUs));
+  if (this->stop) {
+    call->deadline =
+        this->stop->LimitOf(call->deadline, microseconds{0}, now).value_or(now);
+  }
   call->fingerprint = FingerprintOf({request.customer}, request.method,
                                     request.target, request.body);
   this->calls.emplace(call->id, call);
@@ -180,14 +184,15 @@
   return reply;
 }
 
-bool Owner::MayRun(const wire::CallRequest& request, Instant now) const {
-  const bool stopped = this->stopping && now - *this->stopping > kStopTail;
-  return !stopped && this->life.MayRun({request.service_name}, now);
+bool Owner::MayRun(const ServiceName& service, Instant now) const {
+  const bool stopped =
+      this->stop && now - this->stop->serve_until() > kStopTail;
+  return !stopped && !this->giving_up && this->life.MayRun(service, now);
 }
 
 wire::CallReply Owner::Admit(const CallPtr& call) {
   const wire::CallRequest& request = *call->request;
-  if (!this->MayRun(request, Now())) {
+  if (!this->MayRun({request.service_name}, Now())) {
     return NotRun(Reason::kNoEndpoint, "no such back end runs here now");
   }
   const SuspectVerdict verdict =
@@ -209,7 +214,7 @@
   wire::CallReply reply;
   if (call->caller_left) {
     reply = NotRun(Reason::kDeadline, "the caller left");
-  } else if (!this->MayRun(request, Now())) {
+  } else if (!this->MayRun({request.service_name}, Now())) {
     reply = NotRun(Reason::kNoEndpoint, "the back end left meanwhile");
   } else {
     const Instant sent = Now();
@@ -324,7 +329,7 @@
   }
   const bool same_back_end =
       this->life.known() && this->life.known()->instance == call.instance;
-  if (!same_back_end || !this->MayRun(request, now)) {
+  if (!same_back_end || !this->MayRun({request.service_name}, now)) {
     this->events.Write("send withdrawn", {{"id", request.attempt_id},
                                           {"instance", call.instance},
                                           {"waited_ms", waited.count()}});
@@ -356,7 +361,7 @@
 
 wire::CallReply Owner::OnNoAnswer(Call& call, const HttpError& error) {
   const bool by_deadline = Now() >= call.deadline;
-  if (!by_deadline && !call.caller_left) {
+  if (!by_deadline && !call.caller_left && !this->giving_up) {
     this->CheckDeath(call);
   }
   this->events.Write(
@@ -437,12 +442,19 @@
   return this->life.OnLeave(instance, Now());
 }
 
-void Owner::OnNodeStopping() {
-  this->stopping = Now();
+void Owner::GiveUp() {
+  this->giving_up = true;
+  this->Carry(this->queue.Flush(Reason::kShuttingDown));
+  std::ranges::for_each(this->calls, [](const auto& entry) {
+    if (entry.second->break_off) {
+      entry.second->break_off();
+    }
+  });
 }
 
 EndpointState Owner::State() const {
-  return this->stopping ? EndpointState::kDraining : this->BackEndState();
+  const bool leaving = this->stop && Now() >= this->stop->serve_until();
+  return leaving ? EndpointState::kDraining : this->BackEndState();
 }
 
 EndpointState Owner::BackEndState() const {
--- a/src/sidecar/owner.h
+++ b/src/sidecar/owner.h
@@ -31,6 +31,7 @@
 #include "tanagerledge/back_end_life.h"
 #include "tanagerledge/dependency_throttle.h"
 #include "tanagerledge/slot_queue.h"
+#include "tanagerledge/stop_plan.h"
 
 namespace tanagerledge {
 
@@ -73,7 +74,9 @@
   void OnLeftEarlier(const Heartbeat& told);
   bool OnGoodbye(const std::string& instance);
   // This node stops: calls are taken for a moment longer, then turned away.
-  void OnNodeStopping();
+  void OnNodeStopping(const StopPlan& plan) { this->stop = plan; }
+  // Ends all calls: what waits has not run, what is at the back end may have.
+  void GiveUp();
 
   const std::optional<Heartbeat>& back_end() const {
     return this->life.known();
@@ -124,7 +127,7 @@
   wire::CallReply OnNoAnswer(Call& call, const HttpError& error);
   wire::CallReply Accept(HttpResponse&& answer) const;
   void CheckDeath(const Call& call);
-  bool MayRun(const wire::CallRequest& request, Instant now) const;
+  bool MayRun(const ServiceName& service, Instant now) const;
   SlotDecision AwaitSlot(Call& call);
   void Carry(const SlotActions& actions);
 
@@ -143,7 +146,8 @@
   std::unordered_map<SendKey, std::uint64_t> by_send;
   std::unordered_map<std::string, std::uint64_t> by_attempt;
   std::unordered_map<SendKey, std::vector<KeptWaiter>> questions;
-  std::optional<Instant> stopping;
+  std::optional<StopPlan> stop;
+  bool giving_up = false;
   Instant next_death_check{};
 };
 
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -25,18 +25,14 @@
 constexpr int kTicksPerTraffic = 500;
 // Gossip has filled the table of a node by then.
 constexpr milliseconds kHintLife{5000};
-// The platform asks for readiness every second and takes a node out after two
-// misses: until then its callers go on sending.
-constexpr milliseconds kCallersLeave{2300};
-// News of the stop are with all nodes well within the time from here to there.
-constexpr milliseconds kServeOn{1300};
-// Before the grace time ends, the process is gone by itself. Calls that are at
-// work in the last sixth of the platform's 6 s may be cut.
-constexpr milliseconds kGraceMargin{1000};
 constexpr milliseconds kShutdownStep{20};
+// From a cancel to the reply of the node that it goes to.
+constexpr milliseconds kWithdrawal{250};
 // The platform owes no answer to a request that was sent later than 200 ms
 // before its connection closes.
 constexpr milliseconds kLastRequests{200};
+// Other nodes read what was written to them, and close.
+constexpr milliseconds kPeersClose{100};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
@@ -576,43 +572,30 @@
 }
 
 void Sidecar::RunShutdown() {
-  const Instant began = Now();
-  const milliseconds grace =
-      std::max(milliseconds(0), this->settings.bounds.grace);
-  const Instant until = began + grace - kGraceMargin;
-  const auto in_progress = [this] {
-    return this->owner.calls_in_progress() + this->entry.calls_in_progress();
-  };
-  this->stopping = true;
-  this->events.Write("stopping",
-                     {{"calls", static_cast<std::int64_t>(in_progress())}});
+  if (std::exchange(this->stopping, true)) {
+    return;
+  }
+  const StopPlan plan(Now(), this->settings.bounds.grace);
+  this->events.Write(
+      "stopping",
+      {{"calls", static_cast<std::int64_t>(this->CallsInProgress())}});
+  this->entry.OnNodeStopping(plan);
+  this->owner.OnNodeStopping(plan);
   // Callers leave with their answers; later it would be amid their requests.
   this->front.CloseAfterAnswer();
-  // The back end stays and its room is missed: calls of other nodes are taken
-  // until this node's own callers are about to be gone.
-  const auto sleep_until = [this, until](Instant at) {
-    this->loop.SleepFor(std::min(at, until) - Now());
-  };
-  sleep_until(began + kServeOn);
-  this->owner.OnNodeStopping();
-  this->TellBackEnd();
-  sleep_until(began + kCallersLeave);
-  // New connections are still taken: the back end makes calls of its own for
-  // what it runs.
-  this->entry.RefuseCallers();
-  while (in_progress() > 0 && Now() < until) {
-    this->loop.SleepFor(kShutdownStep);
-  }
-  // What has come is still answered; what comes now finds no listener.
-  this->EndConnections(began + grace - kGraceMargin / 2);
-  this->membership.Leave();
+  this->EndCalls(plan);
+  this->EndConnections(plan);
   this->events.Write(
       "stopped",
-      {{"took_ms", duration_cast<milliseconds>(Now() - began).count()},
-       {"calls", static_cast<std::int64_t>(in_progress())},
+      {{"took_ms", duration_cast<milliseconds>(Now() - plan.began()).count()},
+       {"calls", static_cast<std::int64_t>(this->CallsInProgress())},
        {"unanswered", static_cast<std::int64_t>(this->front.unanswered())},
        {"lingering", static_cast<std::int64_t>(this->front.lingering())},
        {"callers", static_cast<std::int64_t>(this->front.open_connections())},
+       {"peers", static_cast<std::int64_t>(this->peers.connections())},
+       {"peer_bytes_unwritten",
+        static_cast<std::int64_t>(this->peers.unwritten())},
+       {"refused", this->entry.refused_by_stop()},
        {"lines_dropped", static_cast<std::int64_t>(this->events.dropped())}});
   this->events.Flush();
   this->membership.Stop();
@@ -627,16 +610,65 @@
   this->loop.Stop();
 }
 
-// Until answers are written, and requests that have come are answered.
-void Sidecar::EndConnections(Instant end_by) {
+std::size_t Sidecar::CallsInProgress() const {
+  return this->owner.calls_in_progress() + this->entry.calls_in_progress();
+}
+
+void Sidecar::EndCalls(const StopPlan& plan) {
+  // The back end stays and its room is missed: calls of other nodes are taken
+  // until this node's own callers are about to be gone.
+  this->loop.SleepFor(plan.serve_until() - Now());
+  this->TellBackEnd();
+  this->loop.SleepFor(plan.callers_until() - Now());
+  // New connections are still taken: the back end makes calls of its own for
+  // what it runs.
+  while (this->CallsInProgress() > 0 && Now() < plan.answer_by()) {
+    this->loop.SleepFor(kShutdownStep);
+  }
+  if (this->CallsInProgress() > 0) {
+    this->GiveUpCalls(plan);
+  }
+}
+
+// What waits anywhere is refused, the rest may have run.
+void Sidecar::GiveUpCalls(const StopPlan& plan) {
+  const LoadReport load = this->owner.Load();
+  this->events.Write(
+      "calls given up",
+      {{"entered", static_cast<std::int64_t>(this->entry.calls_in_progress())},
+       {"running", std::int64_t{load.running}},
+       {"waiting", std::int64_t{load.queued}}});
+  this->entry.GiveUp();
+  this->owner.GiveUp();
+  const auto await_end = [&] {
+    const Instant until = std::min(Now() + kWithdrawal, plan.end_by());
+    while (this->CallsInProgress() > 0 && Now() < until) {
+      this->loop.SleepFor(kShutdownStep);
+    }
+  };
+  await_end();
+  this->peers.GiveUpRequests();
+  await_end();
+}
+
+// Answers are written, and requests that have come by now are refused.
+void Sidecar::EndConnections(const StopPlan& plan) {
+  this->entry.RefuseAll();
   this->front.Drain();
   const Instant last_request = Now() + kLastRequests;
   const auto due = [&] {
     this->front.CloseIdle();
     return this->front.unanswered() > 0 || this->front.lingering() > 0 ||
+           this->peers.unwritten() > 0 ||
            (this->front.open_connections() > 0 && Now() < last_request);
   };
-  while (due() && Now() < end_by) {
+  while (due() && Now() < plan.end_by()) {
+    this->loop.SleepFor(kShutdownStep);
+  }
+  this->membership.Leave();
+  this->peers.Finish();
+  const Instant peers_close = std::min(Now() + kPeersClose, plan.end_by());
+  while (this->peers.connections() > 0 && Now() < peers_close) {
     this->loop.SleepFor(kShutdownStep);
   }
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -34,6 +34,7 @@
 #include "src/sidecar/platform_port.h"
 #include "src/sidecar/sidecar_metrics.h"
 #include "tanagerledge/ports.h"
+#include "tanagerledge/stop_plan.h"
 
 namespace tanagerledge {
 
@@ -73,7 +74,10 @@
   bool IsReady() const;
   void ShowMetrics();
   void RunShutdown();
-  void EndConnections(Instant end_by);
+  void EndCalls(const StopPlan& plan);
+  void GiveUpCalls(const StopPlan& plan);
+  void EndConnections(const StopPlan& plan);
+  std::size_t CallsInProgress() const;
 
   Settings settings;
   const PlatformPort& platform;
--- /dev/null
+++ b/tests/execution/stop_plan_test.cc
@@ -0,0 +1,60 @@
+// What a stopping node takes, and until when.
+
+#include "tanagerledge/stop_plan.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+namespace tanagerledge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kBegan{seconds(100)};
+constexpr seconds kGrace{6};
+
+TEST(StopPlanTest, ItsMoments_FollowEachOtherWithinTheGrace) {
+  const StopPlan plan(kBegan, kGrace);
+  EXPECT_LT(plan.began(), plan.serve_until());
+  EXPECT_LT(plan.serve_until(), plan.callers_until());
+  EXPECT_LT(plan.callers_until(), plan.answer_by());
+  EXPECT_EQ(plan.answer_by(), kBegan + kGrace * 5 / 6);
+  EXPECT_LT(plan.answer_by(), plan.end_by());
+  EXPECT_LT(plan.end_by(), kBegan + kGrace);
+}
+
+TEST(StopPlanTest, ShortGrace_NothingIsPlannedAfterTheAnswers) {
+  const StopPlan plan(kBegan, seconds(1));
+  EXPECT_EQ(plan.serve_until(), plan.answer_by());
+  EXPECT_EQ(plan.callers_until(), plan.answer_by());
+  EXPECT_LT(plan.end_by(), kBegan + seconds(1));
+}
+
+TEST(StopPlanTest, DeadlineWithinTheStop_IsKept) {
+  const StopPlan plan(kBegan, kGrace);
+  const Instant deadline = kBegan + seconds(3);
+  EXPECT_EQ(plan.LimitOf(deadline, seconds(9), kBegan + seconds(2)), deadline);
+}
+
+TEST(StopPlanTest, DeadlineAfterTheStop_IsBroughtForward) {
+  const StopPlan plan(kBegan, kGrace);
+  const auto limit =
+      plan.LimitOf(kBegan + seconds(10), milliseconds(500), kBegan);
+  ASSERT_TRUE(limit.has_value());
+  EXPECT_LT(*limit, plan.answer_by());
+  EXPECT_GT(*limit, plan.answer_by() - milliseconds(500));
+}
+
+TEST(StopPlanTest, WorkThatCannotEndInTheStop_IsNotTaken) {
+  const StopPlan plan(kBegan, kGrace);
+  const Instant deadline = kBegan + seconds(10);
+  const Instant late = kBegan + milliseconds(4500);
+  EXPECT_FALSE(plan.LimitOf(deadline, milliseconds(500), late));
+  EXPECT_TRUE(plan.LimitOf(deadline, milliseconds(100), late));
+  EXPECT_FALSE(plan.LimitOf(deadline, milliseconds(0), plan.answer_by()));
+}
+
+}  // namespace
+}  // namespace tanagerledge
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -34,7 +34,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr auto kTimeout = seconds(5);
+constexpr auto kTimeout = seconds(12);
 
 std::string FreeAddress() {
   boost::asio::io_context io;
@@ -68,13 +68,19 @@
     if (request.Header("X-Expect-Instance") != this->instance) {
       return MakeResponse(421, "text/plain", "");
     }
-    this->loop.SleepFor(this->work.load());
+    ++this->began;
+    const milliseconds allowed(
+        std::stoll(std::string(request.Header("X-Deadline-Ms"))));
+    const milliseconds needed = this->work;
+    this->loop.SleepFor(std::min(needed, allowed));
     const std::scoped_lock lock(this->mutex);
     this->ran.push_back(request);
     if (this->lose_answers) {
       return std::nullopt;
     }
-    if (this->answer_bytes > 0) {
+    if (needed > allowed) {
+      response = MakeResponse(504, "text/plain", "the deadline has passed");
+    } else if (this->answer_bytes > 0) {
       response.body.assign(this->answer_bytes, '~');
     }
     response.headers.push_back(
@@ -94,6 +100,7 @@
   std::atomic<bool> leaving{false};  // As health checks are told.
   std::atomic<milliseconds> work{milliseconds(0)};
   std::atomic<std::size_t> answer_bytes{0};  // Unless 0.
+  std::atomic<int> began{0};                 // Requests that it worked on.
   IoLoop& loop;
   HttpServer server;
 
@@ -186,6 +193,7 @@
     node->log_address = this->store_address;
     node->service = {service};
     node->bounds.grace = this->grace;
+    node->heartbeat_period = this->heartbeat_period;
     this->sidecars.push_back(std::make_unique<Sidecar>(*node, this->platform,
                                                        platform::ConnectStore));
     EXPECT_TRUE(this->sidecars.back()->Start().has_value());
@@ -210,7 +218,7 @@
     const auto route = [](const char* host, const char* service,
                           const char* kind) {
       return json{{"host", host},       {"path_prefix", "/x/"},
-                  {"kind", kind},       {"timeout_ms", 2000},
+                  {"kind", kind},       {"timeout_ms", 10'000},
                   {"priority", 1},      {"target_latency_ms", 500},
                   {"service", service}, {"max_attempts", 2}};
     };
@@ -253,18 +261,49 @@
 
   tl::expected<HttpResponse, HttpError> Try(const Settings& entry,
                                             const std::string& host,
-                                            const std::string& id) {
+                                            const std::string& id,
+                                            const char* patience_ms = "1500") {
     HttpRequest request;
     request.method = "POST";
     request.target = "/x/1?q=2";
     request.body = std::string("odd\0\xff", 5);
     request.headers = {{"Host", host},
                        {"X-Attempt-Id", id},
-                       {"X-Deadline-Ms", "1500"},
+                       {"X-Deadline-Ms", patience_ms},
                        {"X-Caller-Service", "forged"}};
     return this->TrySend(entry.front_address, request);
   }
 
+  // What a call that waits up to 10 s is told; 0 when its connection ended
+  // without an answer.
+  std::future<int> CallPatiently(const Settings& entry,
+                                 const std::string& host,
+                                 const std::string& id) {
+    return std::async(std::launch::async, [this, &entry, host, id] {
+      return this->Try(entry, host, id, "10000")
+          .value_or(MakeResponse(0, "", ""))
+          .status;
+    });
+  }
+
+  // What `count` calls that wait up to 10 s are told.
+  std::vector<std::future<int>> CallsPatiently(const Settings& entry,
+                                               const std::string& host,
+                                               int count) {
+    std::vector<std::future<int>> calls;
+    for (int call = 0; call < count; ++call) {
+      calls.push_back(
+          this->CallPatiently(entry, host, "many-" + std::to_string(call)));
+    }
+    return calls;
+  }
+
+  // Stops take up to 6 s, and back ends may be silent meanwhile.
+  void StopSlowly() {
+    this->grace = milliseconds(6000);
+    this->heartbeat_period = milliseconds(10'000);
+  }
+
   // Begins to stop a node; the future holds how long that took.
   std::future<milliseconds> Stop(std::size_t index) {
     return std::async(std::launch::async, [this, index] {
@@ -340,6 +379,7 @@
   std::vector<std::unique_ptr<Settings>> nodes;
   std::vector<std::unique_ptr<Sidecar>> sidecars;
   milliseconds grace{1500};
+  milliseconds heartbeat_period{1500};
   std::atomic<int> ids{0};
   int beats = 0;
 };
@@ -561,6 +601,93 @@
   stop.get();
 }
 
+// Calls that the own back end makes are taken until the end of a stop.
+TEST_F(SidecarTest, NestedCallLateInTheGrace_IsAnsweredNotCut) {
+  this->StopSlowly();
+  const Settings& archive = this->Start("archive");
+  ASSERT_TRUE(this->StartClaimsFor(archive));
+  this->second_back_end.work = milliseconds(2500);
+  auto stop = this->Stop(0);
+  std::this_thread::sleep_for(milliseconds(2000));
+  auto early = this->CallPatiently(archive, "claims.example", "parent.1");
+  std::this_thread::sleep_for(milliseconds(2000));
+  auto late = this->CallPatiently(archive, "claims.example", "parent.2");
+  EXPECT_EQ(early.get(), 200);
+  const int status = late.get();
+  EXPECT_TRUE(status == 503 || status == 504) << status;
+  EXPECT_LT(stop.get(), this->grace);
+}
+
+// The node knows by then how long such calls take.
+TEST_F(SidecarTest, NestedCallThatCannotEndInTheGrace_IsRefusedAtOnce) {
+  this->StopSlowly();
+  this->second_back_end.work = milliseconds(1000);
+  const Settings& archive = this->Start("archive");
+  ASSERT_TRUE(this->StartClaimsFor(archive));
+  auto stop = this->Stop(0);
+  std::this_thread::sleep_for(milliseconds(1900));
+  std::vector<std::future<int>> calls;
+  for (int call = 0; call < 3; ++call) {
+    calls.push_back(this->CallPatiently(archive, "claims.example",
+                                        "parent." + std::to_string(call)));
+    std::this_thread::sleep_for(milliseconds(750));
+  }
+  const int began_before = this->second_back_end.began;
+  auto late = this->CallPatiently(archive, "claims.example", "parent.late");
+  ASSERT_EQ(late.wait_for(milliseconds(300)), std::future_status::ready);
+  EXPECT_EQ(late.get(), 503);
+  EXPECT_EQ(this->second_back_end.began, began_before);
+  for (auto& call : calls) {
+    EXPECT_EQ(call.get(), 200);
+  }
+  EXPECT_LT(stop.get(), this->grace);
+}
+
+TEST_F(SidecarTest, LongCallTakenInTheGrace_BackEndAnswersItBeforeTheEnd) {
+  this->StopSlowly();
+  const Settings& archive = this->Start("archive");
+  ASSERT_TRUE(this->StartClaimsFor(archive));
+  this->second_back_end.work = milliseconds(9000);
+  auto stop = this->Stop(0);
+  std::this_thread::sleep_for(milliseconds(1000));
+  auto call = this->CallPatiently(archive, "claims.example", "long");
+  EXPECT_EQ(call.get(), 504);
+  EXPECT_LT(stop.get(), this->grace);
+  const HttpRequest ran = this->second_back_end.Ran().back();
+  EXPECT_EQ(ran.Header("X-Attempt-Id"), "long");
+  EXPECT_LT(std::stoi(std::string(ran.Header("X-Deadline-Ms"))), 4000);
+}
+
+TEST_F(SidecarTest, CallBeforeTheStopOutlastsTheGrace_IsToldItMayHaveRun) {
+  this->StopSlowly();
+  const Settings& archive = this->Start("archive");
+  ASSERT_TRUE(this->StartClaimsFor(archive));
+  this->second_back_end.work = milliseconds(9000);
+  auto call = this->CallPatiently(archive, "claims.example", "long");
+  std::this_thread::sleep_for(milliseconds(100));
+  auto stop = this->Stop(0);
+  EXPECT_EQ(call.get(), 502);
+  EXPECT_LT(stop.get(), this->grace);
+}
+
+TEST_F(SidecarTest, CallsWaitForASlotAtTheEndOfTheGrace_AreToldTheyNeverRan) {
+  this->StopSlowly();
+  const Settings& archive = this->Start("archive");
+  ASSERT_TRUE(this->StartClaimsFor(archive));
+  this->second_back_end.work = milliseconds(9000);
+  const int began_before = this->second_back_end.began;
+  auto calls = this->CallsPatiently(archive, "claims.example", 6);
+  std::this_thread::sleep_for(milliseconds(100));
+  auto stop = this->Stop(0);
+  std::multiset<int> told;
+  for (auto& call : calls) {
+    told.insert(call.get());
+  }
+  EXPECT_EQ(told, (std::multiset<int>{502, 502, 502, 502, 503, 503}));
+  EXPECT_LT(stop.get(), this->grace);
+  EXPECT_EQ(this->second_back_end.began, began_before + 4);
+}
+
 // Its calls have ended long before.
 TEST_F(SidecarTest, SlowReaderAmidTheStop_GetsWholeAnswers) {
   this->grace = milliseconds(6000);
@@ -610,6 +737,23 @@
   EXPECT_LT(this->Stop(0).get(), milliseconds(3500));
 }
 
+TEST_F(SidecarTest, NewSettingsAndConfigurationAmidTheStop_CutNoCall) {
+  this->StopSlowly();
+  const Settings& archive = this->Start("archive");
+  ASSERT_TRUE(this->StartClaimsFor(archive));
+  this->second_back_end.work = milliseconds(2000);
+  auto stop = this->Stop(0);
+  std::this_thread::sleep_for(milliseconds(1000));
+  auto call = this->CallPatiently(archive, "claims.example", "amid");
+  this->sidecars.front()->Reload(archive);
+  this->Configure(2);
+  std::this_thread::sleep_for(milliseconds(700));
+  auto next = this->CallPatiently(archive, "claims.example", "next");
+  EXPECT_EQ(call.get(), 200);
+  EXPECT_EQ(next.get(), 200);
+  EXPECT_LT(stop.get(), this->grace);
+}
+
 TEST_F(SidecarTest, SpoiltConfiguration_LeavesTheOneInForce) {
   const Settings& archive = this->Start("archive");
   this->Configure(2);
