Calls of other nodes that wait at a stopping node are turned away at once

What callers saw: calls that waited for a slot beside a back end whose node stopped were held until its process ended, up to 2.7 s for nothing, and then answered 502 though they had not run; they could have gone elsewhere.

Cause: the owner turns waiting calls away when the back end is gone, but did not do so when the node's own stop no longer lets them run.

Change: the tick asks MayRun, which knows of the stop.

--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -466,7 +466,7 @@
   this->Carry(this->queue.OnTick(now));
   this->ledger.Expire(now);
   const bool open =
-      this->life.known() && this->life.MayRun(this->life.known()->service, now);
+      this->life.known() && this->MayRun(this->life.known()->service, now);
   if (!open) {
     this->Carry(this->queue.Flush(Reason::kNoEndpoint));
   }
--- a/tests/adapters/peer_transport_test.cc
+++ b/tests/adapters/peer_transport_test.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -105,6 +106,48 @@
   });
 }
 
+TEST_F(PeerTransportTest, EndsAmidAReply_ReplyArrivesWhole) {
+  const std::string large(4'000'000, 'x');
+  bool replied = false;
+  this->OnRequest([&](const NodeId&, std::string_view) {
+    replied = true;
+    return large;
+  });
+  this->Run([&](const NodeId& to) {
+    this->loop.SpawnHere([&] {
+      while (!replied) {
+        boost::this_fiber::yield();
+      }
+      boost::this_fiber::yield();
+      this->server.transport->Finish();
+    });
+    const auto reply = this->Ask(to, "hello", milliseconds(5000));
+    ASSERT_TRUE(reply.has_value()) << reply.error().text;
+    EXPECT_EQ(reply->size(), large.size());
+    this->loop.SleepFor(milliseconds(100));
+    EXPECT_EQ(this->server.transport->connections(), 0U);
+  });
+}
+
+TEST_F(PeerTransportTest, RequestsGivenUp_WaitersAreToldAtOnce) {
+  this->OnRequest([this](const NodeId&, std::string_view) {
+    this->loop.SleepFor(milliseconds(500));
+    return std::string();
+  });
+  this->Run([&](const NodeId& to) {
+    ASSERT_TRUE(this->Ask(to, "greet", milliseconds(2000)).has_value());
+    this->loop.SpawnHere([&] {
+      this->loop.SleepFor(milliseconds(100));
+      this->client.transport->GiveUpRequests();
+    });
+    const auto began = std::chrono::steady_clock::now();
+    const auto reply = this->Ask(to, "hello", milliseconds(2000));
+    ASSERT_FALSE(reply.has_value());
+    EXPECT_EQ(reply.error().kind, PeerErrorKind::kLost);
+    EXPECT_LT(std::chrono::steady_clock::now() - began, milliseconds(400));
+  });
+}
+
 // A cancel may arrive in one read with the call that it is for.
 TEST_F(PeerTransportTest, MessageRightBehindARequest_IsTakenAfterIt) {
   std::vector<std::string> taken;
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -688,6 +688,27 @@
   EXPECT_EQ(this->second_back_end.began, began_before + 4);
 }
 
+TEST_F(SidecarTest, CallsWaitAtANodeThatStops_AreTurnedAwayWithItsLastCalls) {
+  this->StopSlowly();
+  const Settings& archive = this->Start("archive");
+  ASSERT_TRUE(this->StartClaimsFor(archive));
+  this->second_back_end.work = milliseconds(9000);
+  auto calls = this->CallsPatiently(archive, "claims.example", 6);
+  std::this_thread::sleep_for(milliseconds(100));
+  auto stop = this->Stop(1);
+  std::this_thread::sleep_for(milliseconds(3000));
+  const auto ended = [](std::future<int>& call) {
+    return call.wait_for(seconds(0)) == std::future_status::ready;
+  };
+  EXPECT_EQ(std::ranges::count_if(calls, ended), 2);
+  std::multiset<int> told;
+  for (auto& call : calls) {
+    told.insert(call.get());
+  }
+  EXPECT_EQ(told, (std::multiset<int>{502, 502, 502, 502, 503, 503}));
+  EXPECT_LT(stop.get(), this->grace);
+}
+
 // Its calls have ended long before.
 TEST_F(SidecarTest, SlowReaderAmidTheStop_GetsWholeAnswers) {
   this->grace = milliseconds(6000);
