--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -1,6 +1,7 @@
 #include "src/adapters/http_server.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
@@ -26,6 +27,11 @@
 
 using BeastRequest = http::request<http::string_body>;
 using BeastResponse = http::response<http::string_body>;
+using RequestParser = http::request_parser<http::string_body>;
+
+// A caller closes once it has read its last answer: on the same machine within
+// some ms, and not at all if it hangs.
+constexpr std::chrono::milliseconds kLinger{1000};
 
 std::string ToString(beast::string_view text) {
   return std::string(text.data(), text.size());
@@ -86,6 +92,7 @@
   explicit Connection(tcp::socket socket) : stream(std::move(socket)) {}
 
   void Close() {
+    this->closed = true;
     error_code ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     this->stream.close();
@@ -106,13 +113,41 @@
     return this->stream.socket().available(error) > 0 && !error;
   }
 
-  enum class Phase { kIdle, kReading, kHandling, kWriting };
+  // Nothing has come since the last answer: may be closed without loss.
+  bool IsIdle() {
+    return this->phase == Phase::kIdle && this->answered &&
+           this->buffer.size() == 0 &&
+           !(this->parser != nullptr && this->parser->got_some()) &&
+           !this->HasUnreadBytes();
+  }
+
+  // Ends the connection once the caller has its last answer. A socket that is
+  // closed with unread bytes drops what it still has to send.
+  void Linger() {
+    error_code ignored;
+    this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    this->stream.expires_after(kLinger);
+    std::array<char, 1024> unread{};
+    IoResult<std::size_t> read;
+    while (!read.error) {
+      read = Await<std::size_t>([&](auto done) {
+        this->stream.async_read_some(boost::asio::buffer(unread),
+                                     std::move(done));
+      });
+    }
+  }
+
+  // Ending: the last answer is written and may not have arrived.
+  enum class Phase { kIdle, kReading, kHandling, kWriting, kEnding };
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  Phase phase = Phase::kIdle;  // Idle: may be closed without loss.
-  Instant read_at{};           // The last request, whole.
-  bool caller_left = false;
+  const RequestParser* parser = nullptr;  // While a request's head is due.
+  Phase phase = Phase::kIdle;
+  Instant read_at{};         // The last request, whole.
+  bool answered = false;     // One was, on this connection.
+  bool caller_left = false;  // Before its answer.
+  bool closed = false;       // By Close.
 };
 
 HttpServer::HttpServer(IoLoop& io_loop,
@@ -150,17 +185,37 @@
       if (this->closed) {
         return;  // It was accepted while the server closed.
       }
-      auto connection = std::make_shared<Connection>(std::move(socket));
-      this->connections.insert(connection);
-      this->loop.SpawnHere([this, connection] { this->Serve(connection); });
+      this->Take(std::move(socket));
     }
   });
   return this->acceptor->local_endpoint();
 }
 
+void HttpServer::Take(tcp::socket socket) {
+  auto connection = std::make_shared<Connection>(std::move(socket));
+  this->connections.insert(connection);
+  this->loop.SpawnHere([this, connection] { this->Serve(connection); });
+}
+
+// Closing a listener resets the connections that wait in it.
+void HttpServer::TakeWaiting() {
+  error_code error;
+  this->acceptor->non_blocking(true, error);
+  while (!error && this->connections.size() < this->limits.max_connections) {
+    tcp::socket socket(this->loop.context());
+    this->acceptor->accept(socket, error);
+    if (!error) {
+      this->Take(std::move(socket));
+    }
+  }
+}
+
 void HttpServer::Drain() {
   this->draining = true;
-  if (this->acceptor) {
+  if (this->acceptor && this->acceptor->is_open()) {
+    if (!this->closed) {
+      this->TakeWaiting();
+    }
     error_code ignored;
     this->acceptor->close(ignored);
   }
@@ -168,7 +223,7 @@
 
 void HttpServer::CloseIdle() {
   for (const auto& connection : this->connections) {
-    if (connection->phase == Connection::Phase::kIdle) {
+    if (connection->IsIdle()) {
       connection->Close();
     }
   }
@@ -187,6 +242,9 @@
   connection->stream.socket().set_option(tcp::no_delay(true), ignored);
   while (this->ServeOne(connection)) {
   }
+  if (connection->phase == Connection::Phase::kEnding) {
+    connection->Linger();
+  }
   connection->Close();
   this->connections.erase(connection);
 }
@@ -195,7 +253,7 @@
 bool HttpServer::ServeOne(const std::shared_ptr<Connection>& held) {
   Connection& connection = *held;
   connection.phase = Connection::Phase::kIdle;
-  http::request_parser<http::string_body> parser;
+  RequestParser parser;
   parser.body_limit(this->limits.max_body_bytes);
   // A head or a trailer within this has no field that Beast cannot keep; it
   // would throw, and not at a place where that can be caught.
@@ -203,20 +261,23 @@
                                               kMostUnparsedBytes));
   connection.buffer.max_size(kMostUnparsedBytes);
   connection.stream.expires_after(this->limits.idle_timeout);
+  connection.parser = &parser;
   const auto header = Await<std::size_t>([&](auto done) {
     http::async_read_header(connection.stream, connection.buffer, parser,
                             std::move(done));
   });
-  if (!header || !EndIsCertain(parser.get())) {
-    return false;
+  bool read = header && EndIsCertain(parser.get());
+  if (read) {
+    connection.phase = Connection::Phase::kReading;
+    connection.stream.expires_after(this->limits.read_timeout);
+    read = static_cast<bool>(Await<std::size_t>([&](auto done) {
+      http::async_read(connection.stream, connection.buffer, parser,
+                       std::move(done));
+    }));
   }
-  connection.phase = Connection::Phase::kReading;
-  connection.stream.expires_after(this->limits.read_timeout);
-  const auto body = Await<std::size_t>([&](auto done) {
-    http::async_read(connection.stream, connection.buffer, parser,
-                     std::move(done));
-  });
-  if (!body) {
+  connection.parser = nullptr;
+  // What was closed while the last bytes came can't be answered.
+  if (!read || connection.closed) {
     return false;
   }
   connection.stream.expires_never();
@@ -243,6 +304,10 @@
     this->TellUnanswered(connection, request, Unanswered::Stage::kWriting,
                          written.error.message());
   }
+  connection.answered = true;
+  if (written && keep_alive && !response.keep_alive()) {
+    connection.phase = Connection::Phase::kEnding;
+  }
   return written && response.keep_alive();
 }
 
@@ -277,6 +342,9 @@
       case Connection::Phase::kWriting:
         ++all.writing;
         break;
+      case Connection::Phase::kEnding:
+        ++all.ending;
+        break;
     }
   });
   return all;
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -77,6 +77,9 @@
     std::size_t reading = 0;  // Some of a request has been read.
     std::size_t handling = 0;
     std::size_t writing = 0;
+    std::size_t ending = 0;  // The last answer is written, not yet taken.
+
+    std::size_t unanswered() const { return this->handling + this->writing; }
   };
 
   HttpServer(IoLoop& loop, Handler handler, HttpLimits limits = {});
@@ -97,7 +100,7 @@
   // request that is already on its way is still answered.
   void Drain();
 
-  // Closes the connections that wait for a request.
+  // Closes the connections on which nothing has come since the last answer.
   void CloseIdle();
 
   // Cuts what is left.
@@ -113,6 +116,8 @@
  private:
   struct Connection;
 
+  void TakeWaiting();
+  void Take(boost::asio::ip::tcp::socket socket);
   void Serve(const std::shared_ptr<Connection>& connection);
   bool ServeOne(const std::shared_ptr<Connection>& connection);
   std::optional<HttpResponse> Answer(
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -34,6 +34,7 @@
 #include "src/sidecar/platform_port.h"
 #include "src/sidecar/sidecar_metrics.h"
 #include "tanagerledge/ports.h"
+#include "tanagerledge/stop_plan.h"
 
 namespace tanagerledge {
 
@@ -67,7 +68,6 @@
   std::int64_t BytesSent(Channel channel) const;
   void LogTraffic();
   void LogUnanswered(const HttpRequest& request, const Unanswered& what);
-  void LogConnections(std::string_view event);
   void OnMembers(const std::vector<Member>& members);
   void TellBackEnd();
   std::optional<HttpResponse> OnBackEndWord(const HttpRequest& request);
@@ -75,6 +75,10 @@
   bool IsReady() const;
   void ShowMetrics();
   void RunShutdown();
+  void EndCalls(const StopPlan& plan);
+  void GiveUpCalls(const StopPlan& plan);
+  void EndConnections(const StopPlan& plan);
+  std::size_t CallsInProgress() const;
 
   Settings settings;
   const PlatformPort& platform;
