Soak: a request that ends without an answer is judged

The soak passed over such calls. Now the ledger, in files of its own, knows when a request went out, to which node, and when back ends were at work on it. LOST is a connection that ends without a whole answer once the request was passed on, or over 200 ms after its last byte; a caller that waits until 1 s after its limit in vain; and after a SIGTERM an answer of the node's own while a back end is at work. Where this process itself was late, the 200 ms are longer by that. The other checks are as before, moved.

--- a/soak/back_end.cc
+++ b/soak/back_end.cc
@@ -28,84 +28,17 @@
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
-constexpr int kTooMany = 429;
-constexpr int kServerError = 500;
-
-std::string BodyOf(std::string_view id) {
-  return "ran " + std::string(id);
-}
 
 }  // namespace
 
-// Ledger ----------------------------------------------------------------------
-
-void Ledger::Asked(const std::string& id,
-                   bool repeatable,
-                   const std::string& caller) {
-  this->attempts[id] = {repeatable, caller, 0, 0};
-}
-
-void Ledger::Ran(const HttpRequest& request) {
-  const std::string id(request.Header("X-Attempt-Id"));
-  const auto found = this->attempts.find(id);
-  if (found == this->attempts.end()) {
-    this->faults.push_back(id + " ran and nobody asked for it");
-    return;
-  }
-  ++found->second.runs;
-  if (request.Header("X-Caller-Service") != found->second.caller) {
-    this->faults.push_back(id + " ran for a caller that it did not come from");
-  }
-}
-
-void Ledger::Answered(const std::string& id, const HttpResponse& answer) {
-  Attempt& attempt = this->attempts.at(id);
-  attempt.status = answer.status;
-  if (answer.status == kOk) {
-    ++this->served_count;
-    if (answer.body != BodyOf(id) || answer.Header("X-Server-Stamp").empty()) {
-      this->faults.push_back(id + " was answered with `" + answer.body + "`");
-    }
-  } else if (answer.status < kServerError && answer.status != kTooMany) {
-    this->faults.push_back(id + " was denied with " +
-                           std::to_string(answer.status));
-  }
-}
-
-void Ledger::CameAfterLeave(const std::string& id, milliseconds late) {
-  this->faults.push_back(id + " came " + std::to_string(late.count()) +
-                         " ms after the leave was acknowledged");
-}
-
-std::vector<std::string> Ledger::Faults() const {
-  std::vector<std::string> all = this->faults;
-  std::ranges::for_each(this->attempts, [&all](const auto& entry) {
-    const auto& [id, attempt] = entry;
-    const bool refused =
-        attempt.status == kUnavailable || attempt.status == kTooMany;
-    if (!attempt.repeatable && attempt.runs > 1) {
-      all.push_back(id + " ran " + std::to_string(attempt.runs) + " times");
-    }
-    if (!attempt.repeatable && refused && attempt.runs > 0) {
-      all.push_back(id + " was refused as not run, and ran");
-    }
-    if (attempt.status == kOk && attempt.runs == 0) {
-      all.push_back(id + " was answered and never ran");
-    }
-  });
-  return all;
-}
-
-// Back end --------------------------------------------------------------------
-
 BackEnd::BackEnd(IoLoop& io_loop,
                  Ledger& run_ledger,
-                 std::string service_name,
+                 CallerPlace own_place,
                  std::string node_admin_address,
                  std::uint64_t seed)
     : loop(io_loop),
       ledger(run_ledger),
-      service(std::move(service_name)),
+      place(std::move(own_place)),
       admin_address(std::move(node_admin_address)),
       random(seed),
       server(io_loop, HttpServer::Handler([this](const HttpRequest& request) {
@@ -126,7 +59,7 @@
   ++this->starts;
   const bool keeps_name = this->leaving && this->leaving->keeps_name;
   if (!keeps_name) {
-    this->instance = this->service + "-" + this->proxy->address() + "-" +
+    this->instance = this->place.service + "-" + this->proxy->address() + "-" +
                      std::to_string(this->starts);
   }
   this->beats = 0;
@@ -200,14 +133,15 @@
     refusal.headers.push_back({"X-Not-Executed", "1"});
     return refusal;
   }
-  this->ledger.Ran(request);
-  std::uniform_int_distribution<int> work(kLeastWorkMs, kMostWorkMs);
+  const RunPtr run = this->ledger.Ran(request, *this->place.node, *this->proxy);
   const std::string began_as = this->instance;
+  std::uniform_int_distribution<int> work(kLeastWorkMs, kMostWorkMs);
   this->loop.SleepFor(milliseconds(work(this->random)));
+  run->ended = Now();
   if (this->instance != began_as || (this->moody && this->Draw(kMoodShare))) {
     return std::nullopt;  // The answer is lost with the connection.
   }
-  response.body = BodyOf(id);
+  response.body = "ran " + id;
   response.headers.push_back({"X-Attempt-Id", id});
   response.headers.push_back({"X-Server-Stamp", "stamp-" + this->instance});
   return response;
@@ -224,10 +158,12 @@
 }
 
 std::string BackEnd::BeatBody(const char* state) {
-  return nlohmann::json{
-      {"service", this->service},  {"address", this->proxy->address()},
-      {"slots", kSlots},           {"state", state},
-      {"sequence", ++this->beats}, {"born", this->born_ms}}
+  return nlohmann::json{{"service", this->place.service},
+                        {"address", this->proxy->address()},
+                        {"slots", kSlots},
+                        {"state", state},
+                        {"sequence", ++this->beats},
+                        {"born", this->born_ms}}
       .dump();
 }
 
--- a/soak/back_end.h
+++ b/soak/back_end.h
@@ -6,12 +6,13 @@
 
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
 
+#include "soak/caller.h"
+#include "soak/ledger.h"
 #include "soak/proxy.h"
 #include "src/adapters/http_message.h"
 #include "src/adapters/http_server.h"
@@ -19,38 +20,11 @@
 
 namespace tanagerledge::soak {
 
-// What was asked and what became of it, by attempt id. The judge of the soak.
-class Ledger {
- public:
-  void Asked(const std::string& id, bool repeatable, const std::string& caller);
-  void Ran(const HttpRequest& request);
-  void Answered(const std::string& id, const HttpResponse& answer);
-  // A request reached a back end so long after its leave was acknowledged.
-  void CameAfterLeave(const std::string& id, std::chrono::milliseconds late);
-
-  // Each broken promise, in a line.
-  std::vector<std::string> Faults() const;
-  int served() const { return this->served_count; }
-  int asked() const { return static_cast<int>(this->attempts.size()); }
-
- private:
-  struct Attempt {
-    bool repeatable = false;
-    std::string caller;
-    int runs = 0;
-    int status = 0;  // Of the answer; 0 when none came.
-  };
-
-  std::map<std::string, Attempt> attempts;
-  std::vector<std::string> faults;
-  int served_count = 0;
-};
-
 class BackEnd {
  public:
   BackEnd(IoLoop& loop,
           Ledger& ledger,
-          std::string service_name,
+          CallerPlace own_place,
           std::string node_admin_address,
           std::uint64_t seed);
 
@@ -81,7 +55,7 @@
 
   IoLoop& loop;
   Ledger& ledger;
-  const std::string service;
+  const CallerPlace place;
   const std::string admin_address;
   std::mt19937_64 random;
   HttpServer server;
--- /dev/null
+++ b/soak/caller.h
@@ -0,0 +1,47 @@
+// Sends requests to one node and tells the ledger what became of them.
+
+#ifndef TANAGERLEDGE_SOAK_CALLER_H_
+#define TANAGERLEDGE_SOAK_CALLER_H_
+
+#include <chrono>
+#include <string>
+
+#include "soak/ledger.h"
+#include "soak/node_history.h"
+#include "src/adapters/http_client.h"
+
+namespace tanagerledge::soak {
+
+// Of the routes of the soak's configurations.
+inline constexpr std::chrono::milliseconds kShortTimeout{2000};
+
+// Who sends, and where.
+struct CallerPlace {
+  std::string service;  // Of the back end there.
+  std::string front;    // Of the node.
+  const NodeHistory* node;
+};
+
+struct CallPlan {
+  std::string id;
+  bool repeatable = false;
+  std::chrono::milliseconds deadline{1500};
+};
+
+class Caller {
+ public:
+  Caller(IoLoop& loop, Ledger& ledger, CallerPlace place);
+
+  // Waits for the answer.
+  void Call(const CallPlan& plan);
+  void Close() { this->client.Close(); }
+
+ private:
+  Ledger& ledger;
+  const CallerPlace place;
+  HttpClient client;
+};
+
+}  // namespace tanagerledge::soak
+
+#endif  // TANAGERLEDGE_SOAK_CALLER_H_
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -13,9 +13,11 @@
 #include "fakes/log_store.h"
 #include "platform/store_client.h"
 #include "soak/back_end.h"
+#include "soak/caller.h"
+#include "soak/ledger.h"
+#include "soak/node_history.h"
 #include "soak/node_process.h"
 #include "src/adapters/clock.h"
-#include "src/adapters/http_client.h"
 
 namespace tanagerledge::soak {
 namespace {
@@ -24,9 +26,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr milliseconds kCallTimeout{2500};
 constexpr milliseconds kCallPause{20};  // Between the calls of one caller.
 constexpr milliseconds kReapStep{20};
+constexpr milliseconds kStall{20};
 constexpr milliseconds kLoading{300};  // Of a program; 20 ms when idle.
 constexpr milliseconds kStoreWrite{2000};
 // Membership needs 2.5 s to forgive a node, the store's list is read each
@@ -35,7 +37,6 @@
 constexpr seconds kGrace{6};
 // Of the calls after the recovery, so many are served.
 constexpr double kServedAfter = 0.9;
-constexpr int kOk = 200;
 
 int Draw(std::mt19937_64& random, int least, int most) {
   return std::uniform_int_distribution<int>(least, most)(random);
@@ -43,6 +44,9 @@
 
 // A node, the back end beside it and its caller.
 struct Place {
+  explicit Place(std::string name) : history(std::move(name)) {}
+
+  NodeHistory history;
   std::string service;
   std::string front;
   std::unique_ptr<Proxy> to_store;
@@ -85,6 +89,7 @@
       this->loop.Spawn([this, &place] { this->KeepRunning(*place); });
       this->loop.Spawn([this, &place] { this->CallOn(*place); });
     });
+    this->loop.Spawn([this] { this->WatchStalls(); });
     this->loop.SleepFor(seconds(2));
     const Instant until = Now() + this->options.length;
     this->loop.SpawnHere([this, until] { this->MakeLeaves(until); });
@@ -116,7 +121,7 @@
       return json{{"host", std::string(service) + ".example"},
                   {"path_prefix", "/x/"},
                   {"kind", kind},
-                  {"timeout_ms", 2000},
+                  {"timeout_ms", kShortTimeout.count()},
                   {"priority", 1},
                   {"target_latency_ms", 300},
                   {"service", service},
@@ -138,13 +143,13 @@
   }
 
   void AddPlace(int number) {
-    auto place = std::make_unique<Place>();
+    auto place = std::make_unique<Place>("node-" + std::to_string(number));
     place->service = number % 2 == 0 ? "archive" : "claims";
     place->front = this->NextAddress();
     place->to_store = std::make_unique<Proxy>(this->loop, this->store_address);
     const std::string admin = this->NextAddress();
     place->back_end = std::make_unique<BackEnd>(
-        this->loop, this->ledger, place->service, admin, this->other_random());
+        this->loop, this->ledger, WhereIs(*place), admin, this->other_random());
     const std::string path =
         this->options.directory + "/node-" + std::to_string(number) + ".ini";
     std::ofstream(path) << "[node]\nsource = platform\nfleet = soak-"
@@ -170,6 +175,7 @@
       if (!place.process->running()) {
         place.stopping = false;
         place.started = Now();
+        place.history.OnStart(place.started);
         if (!place.process->Start()) {
           this->faults.push_back("the node can't be started");
           return;
@@ -198,28 +204,40 @@
 
   // Callers -------------------------------------------------------------------
 
+  static CallerPlace WhereIs(const Place& place) {
+    return {place.service, place.front, &place.history};
+  }
+
   // Keeps its connection until the node is gone, as the platform's clients do.
   void CallOn(const Place& place) {
-    HttpClient client(this->loop, ParseAddress(place.front).value());
+    Caller caller(this->loop, this->ledger, WhereIs(place));
     while (!this->ending) {
-      const bool repeatable = Draw(this->other_random, 0, 1) == 0;
-      const std::string id = "a" + std::to_string(++this->last_id);
-      HttpRequest request;
-      request.method = "POST";
-      request.target = "/x/" + id;
-      request.body = id;
-      request.headers = {
-          {"Host", repeatable ? "archive.example" : "claims.example"},
-          {"X-Attempt-Id", id},
-          {"X-Deadline-Ms", "1500"}};
-      this->ledger.Asked(id, repeatable, place.service);
-      const auto answer = client.Send(request, kCallTimeout);
-      if (answer) {
-        this->ledger.Answered(id, *answer);
-      }
+      CallPlan plan;
+      plan.repeatable = Draw(this->other_random, 0, 1) == 0;
+      this->Call(caller, std::move(plan));
       this->loop.SleepFor(kCallPause);
     }
-    client.Close();
+    caller.Close();
+  }
+
+  void Call(Caller& caller, CallPlan plan) {
+    plan.id = "a" + std::to_string(++this->last_id);
+    ++this->calls_under_way;
+    caller.Call(plan);
+    --this->calls_under_way;
+  }
+
+  // How late this process itself is.
+  void WatchStalls() {
+    while (!this->ending) {
+      const Instant due = Now() + kReapStep;
+      this->loop.SleepFor(kReapStep);
+      const Instant::duration late = Now() - due;
+      if (late >= kStall) {
+        this->ledger.OnOwnStall(late);
+      }
+      this->longest_stall = std::max(this->longest_stall, late);
+    }
   }
 
   // Faults --------------------------------------------------------------------
@@ -273,7 +291,7 @@
       ++this->under_way;
       this->loop.SpawnHere([this, &place, leave, restarts, restarted_before] {
         if (restarts) {
-          place.process->Signal(SIGKILL);
+          this->Kill(place, milliseconds(0));
           this->loop.SleepFor(restarted_before);
         }
         place.back_end->RunLeave(leave);
@@ -283,20 +301,26 @@
     }
   }
 
-  void Kill(Place& place, milliseconds) { place.process->Signal(SIGKILL); }
+  void Kill(Place& place, milliseconds) {
+    place.history.OnKill(Now());
+    place.process->Signal(SIGKILL);
+  }
 
   void Stop(Place& place, milliseconds) {
     if (place.process->running() && !place.stopping) {
       place.stopping = true;
       place.stop_until = Now() + kGrace;
+      place.history.OnStop(Now());
       place.process->Signal(SIGTERM);
     }
   }
 
   void Pause(Place& place, milliseconds length) {
+    place.history.OnPause();
     place.process->Signal(SIGSTOP);
     this->loop.SleepFor(length);
     place.process->Signal(SIGCONT);
+    place.history.OnContinue(Now());
     place.stop_until += length;  // A paused node can't end.
   }
 
@@ -379,6 +403,9 @@
 
   void StopAll() {
     std::ranges::for_each(this->places, [](const auto& place) {
+      if (!place->stopping) {
+        place->history.OnStop(Now());
+      }
       place->process->Signal(SIGTERM);
     });
     const Instant until = Now() + kGrace;
@@ -388,6 +415,11 @@
     if (this->AnyRuns()) {
       this->faults.push_back("a node outlived its grace time at the end");
     }
+    // With the nodes gone, what is still under way ends at once.
+    const Instant heard_until = Now() + seconds(1);
+    while (Now() < heard_until && this->calls_under_way > 0) {
+      this->loop.SleepFor(kReapStep);
+    }
     std::ranges::for_each(this->places, [](const auto& place) {
       place->process->Signal(SIGKILL);
       place->back_end->Close();
@@ -408,9 +440,12 @@
     std::ranges::for_each(this->faults, [](const std::string& fault) {
       std::cout << "broken: " << fault << "\n";
     });
-    std::cout << "seed " << this->options.seed << ": " << this->ledger.asked()
-              << " asked, " << this->ledger.served() << " served, "
-              << this->faults.size() << " broken" << std::endl;
+    std::cout
+        << "seed " << this->options.seed << ": " << this->ledger.asked()
+        << " asked, " << this->ledger.served() << " served, "
+        << this->ledger.unanswered() << " without an answer, longest stall "
+        << std::chrono::duration_cast<milliseconds>(this->longest_stall).count()
+        << " ms, " << this->faults.size() << " broken" << std::endl;
     return this->faults.empty();
   }
 
@@ -429,7 +464,9 @@
   int version = 0;
   int ports_given = 0;
   std::uint64_t last_id = 0;
-  int under_way = 0;
+  int under_way = 0;        // Faults.
+  int calls_under_way = 0;  // Of callers.
+  Instant::duration longest_stall{};
   bool ending = false;
 };
 
