Soak: planned stops in series, long work and calls of back ends

Tests missed cut requests also because stops met little: every call was done in 80 ms. While there is trouble each node now has 12 more callers (half keep their connections, half open one for each request) with 1.5 to 4 s for a request; back ends have 2 slots, a quarter of the work takes 0.3 to 2.5 s and half of it makes one to four calls of its own by the node. The stops have a random engine of their own: a seed's other faults are as before. After the trouble the load is as it was.

--- a/soak/back_end.cc
+++ b/soak/back_end.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -20,14 +21,23 @@
 // What a harmed link held back may still come.
 constexpr milliseconds kLinkForgiven{3000};
 constexpr int kSlots = 8;
+constexpr int kBusySlots = 2;
 constexpr int kLeastWorkMs = 5;
 constexpr int kMostWorkMs = 80;
+// Of a busy back end, these shares of the work.
+constexpr double kLongShare = 0.25;
+constexpr int kLeastLongWorkMs = 300;
+constexpr int kMostLongWorkMs = 2500;
+constexpr double kNestedShare = 0.5;
+constexpr int kMostNested = 4;  // One after the other.
 // A moody back end refuses and loses this share each.
 constexpr double kMoodShare = 0.2;
 
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
+constexpr int kServerError = 500;
+constexpr int kTimedOut = 504;
 
 }  // namespace
 
@@ -41,6 +51,7 @@
       place(std::move(own_place)),
       admin_address(std::move(node_admin_address)),
       random(seed),
+      own_calls(io_loop, run_ledger, this->place, true),
       server(io_loop, HttpServer::Handler([this](const HttpRequest& request) {
                return this->Answer(request);
              })) {
@@ -135,8 +146,7 @@
   }
   const RunPtr run = this->ledger.Ran(request, *this->place.node, *this->proxy);
   const std::string began_as = this->instance;
-  std::uniform_int_distribution<int> work(kLeastWorkMs, kMostWorkMs);
-  this->loop.SleepFor(milliseconds(work(this->random)));
+  response.status = this->Work(request);
   run->ended = Now();
   if (this->instance != began_as || (this->moody && this->Draw(kMoodShare))) {
     return std::nullopt;  // The answer is lost with the connection.
@@ -147,6 +157,40 @@
   return response;
 }
 
+// Takes its time, at most what the request has left; the status of the answer.
+int BackEnd::Work(const HttpRequest& request) {
+  const std::string id(request.Header("X-Attempt-Id"));
+  const std::string left(request.Header("X-Deadline-Ms"));
+  const Instant until =
+      Now() + milliseconds(std::strtol(left.c_str(), nullptr, 10));
+  const bool nested = id.find('.') != std::string::npos;
+  const bool is_long = this->busy && this->Draw(kLongShare);
+  const milliseconds work(is_long
+                              ? this->Between(kLeastLongWorkMs, kMostLongWorkMs)
+                              : this->Between(kLeastWorkMs, kMostWorkMs));
+  int calls = this->busy && !nested && this->Draw(kNestedShare)
+                  ? this->Between(1, kMostNested)
+                  : 0;
+  this->loop.SleepFor(std::min<Instant::duration>(work, until - Now()));
+  bool well = true;
+  while (well && calls-- > 0 && Now() < until) {
+    CallPlan plan;
+    plan.id = this->ledger.NestedId(id);
+    plan.repeatable = this->Draw(0.5);
+    plan.long_route = true;
+    plan.deadline = std::chrono::duration_cast<milliseconds>(until - Now());
+    well = this->own_calls.Call(plan);
+  }
+  if (Now() >= until) {
+    return kTimedOut;
+  }
+  return well ? kOk : kServerError;
+}
+
+int BackEnd::Between(int least, int most) {
+  return std::uniform_int_distribution<int>(least, most)(this->random);
+}
+
 void BackEnd::Beat() {
   if (!this->leaving) {
     this->last_ready = this->BeatBody("ready");
@@ -160,7 +204,7 @@
 std::string BackEnd::BeatBody(const char* state) {
   return nlohmann::json{{"service", this->place.service},
                         {"address", this->proxy->address()},
-                        {"slots", kSlots},
+                        {"slots", this->busy ? kBusySlots : kSlots},
                         {"state", state},
                         {"sequence", ++this->beats},
                         {"born", this->born_ms}}
@@ -180,6 +224,7 @@
 
 void BackEnd::Close() {
   this->closed = true;
+  this->own_calls.Close();
   this->proxy->Close();
   this->server.Close();
 }
--- a/soak/back_end.h
+++ b/soak/back_end.h
@@ -31,6 +31,8 @@
   // A crash and a new start at the same address, under another name.
   void StartAnew();
   void SetMoody(bool next) { this->moody = next; }
+  // Some work is long, and some makes a call of its own by the node.
+  void SetBusy(bool next) { this->busy = next; }
 
   // Says that it goes, suddenly or by heartbeats that say so, stays on, and is
   // replaced. One of its earlier heartbeats arrives late meanwhile. Waits.
@@ -46,18 +48,21 @@
 
  private:
   std::optional<HttpResponse> Answer(const HttpRequest& request);
+  int Work(const HttpRequest& request);
   void CheckLeave(const std::string& id);
   void Beat();
   std::string BeatBody(const char* state);
   bool Tell(const char* method, const std::string& body);
   void TellLeave();
   bool Draw(double chance);
+  int Between(int least, int most);
 
   IoLoop& loop;
   Ledger& ledger;
   const CallerPlace place;
   const std::string admin_address;
   std::mt19937_64 random;
+  Caller own_calls;
   HttpServer server;
   std::unique_ptr<Proxy> proxy;
   std::string instance;
@@ -68,6 +73,7 @@
   std::optional<Leave> leaving;
   std::optional<Instant> acknowledged;  // The leave, by the node.
   bool moody = false;  // Refuses some requests and loses some answers.
+  bool busy = false;
   bool closed = false;
 };
 
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -12,8 +12,9 @@
 
 namespace tanagerledge::soak {
 
-// Of the routes of the soak's configurations.
+// The routes of the soak's configurations differ in their time-outs.
 inline constexpr std::chrono::milliseconds kShortTimeout{2000};
+inline constexpr std::chrono::milliseconds kLongTimeout{4000};
 
 // Who sends, and where.
 struct CallerPlace {
@@ -25,15 +26,21 @@
 struct CallPlan {
   std::string id;
   bool repeatable = false;
+  bool long_route = false;
   std::chrono::milliseconds deadline{1500};
 };
 
 class Caller {
  public:
-  Caller(IoLoop& loop, Ledger& ledger, CallerPlace place);
-
-  // Waits for the answer.
-  void Call(const CallPlan& plan);
+  // One that keeps its connections uses them until the node is gone, as the
+  // platform's clients do.
+  Caller(IoLoop& loop,
+         Ledger& ledger,
+         CallerPlace place,
+         bool keeps_connections);
+
+  // Waits for the answer; whether it was a success.
+  bool Call(const CallPlan& plan);
   void Close() { this->client.Close(); }
 
  private:
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -35,6 +35,10 @@
 
 }  // namespace
 
+std::string Ledger::NestedId(const std::string& parent_id) {
+  return parent_id + "." + std::to_string(++this->nested_count);
+}
+
 void Ledger::Asked(const std::string& id,
                    bool repeatable,
                    const std::string& caller) {
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -28,6 +28,9 @@
 
 class Ledger {
  public:
+  // Of a call that a back end makes: the id of its request, a dot and a number.
+  std::string NestedId(const std::string& parent_id);
+
   void Asked(const std::string& id, bool repeatable, const std::string& caller);
   // The request goes out, whole, to a node; the lesser of the caller's deadline
   // and the route's time-out is its limit.
@@ -86,6 +89,7 @@
   std::vector<Stall> stalls;
   int served_count = 0;
   int unanswered_count = 0;
+  int nested_count = 0;
 };
 
 }  // namespace tanagerledge::soak
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -27,6 +27,9 @@
 using std::chrono::seconds;
 
 constexpr milliseconds kCallPause{20};  // Between the calls of one caller.
+constexpr milliseconds kRefusedPause{100};
+constexpr milliseconds kLongTarget{3500};
+constexpr int kMoreCallers = 12;  // Beside each node, half keep theirs.
 constexpr milliseconds kReapStep{20};
 constexpr milliseconds kStall{20};
 constexpr milliseconds kLoading{300};  // Of a program; 20 ms when idle.
@@ -42,7 +45,7 @@
   return std::uniform_int_distribution<int>(least, most)(random);
 }
 
-// A node, the back end beside it and its caller.
+// A node, the back end beside it and its callers.
 struct Place {
   explicit Place(std::string name) : history(std::move(name)) {}
 
@@ -63,6 +66,7 @@
       : options(std::move(soak_options)),
         fault_random(this->options.seed),
         leave_random(this->options.seed),
+        stop_random(this->options.seed),
         other_random(this->options.seed),
         store(this->loop) {}
 
@@ -88,12 +92,25 @@
     std::ranges::for_each(this->places, [this](const auto& place) {
       this->loop.Spawn([this, &place] { this->KeepRunning(*place); });
       this->loop.Spawn([this, &place] { this->CallOn(*place); });
+      for (int i = 0; i < kMoreCallers; ++i) {
+        this->loop.Spawn([this, &place, keeps = i % 2 == 0] {
+          this->PressOn(*place, keeps);
+        });
+      }
     });
     this->loop.Spawn([this] { this->WatchStalls(); });
     this->loop.SleepFor(seconds(2));
+    this->SetBusy(true);
     const Instant until = Now() + this->options.length;
-    this->loop.SpawnHere([this, until] { this->MakeLeaves(until); });
-    this->MakeTrouble(until);
+    if (this->options.stops_only) {
+      this->MakeStops(until);
+    } else {
+      this->loop.SpawnHere([this, until] { this->MakeLeaves(until); });
+      this->loop.SpawnHere([this, until] { this->MakeStops(until); });
+      this->MakeTrouble(until);
+    }
+    this->AwaitTrouble();
+    this->SetBusy(false);
     this->loop.SleepFor(kRecovery);
     this->CheckRecovered();
     this->ending = true;
@@ -127,10 +144,22 @@
                   {"service", service},
                   {"max_attempts", 3}};
     };
+    // Less urgent, so that its requests wait long.
+    const auto long_route = [&route](const char* service, const char* kind) {
+      json table = route(service, kind);
+      table["path_prefix"] = "/long/";
+      table["timeout_ms"] = kLongTimeout.count();
+      table["priority"] = 2;
+      table["target_latency_ms"] = kLongTarget.count();
+      return table;
+    };
+    const json routes = {
+        {"archive", route("archive", "idempotent")},
+        {"claims", route("claims", "non_idempotent")},
+        {"archive-long", long_route("archive", "idempotent")},
+        {"claims-long", long_route("claims", "non_idempotent")}};
     const json config = {{"version", ++this->version},
-                         {"routes",
-                          {{"archive", route("archive", "idempotent")},
-                           {"claims", route("claims", "non_idempotent")}}},
+                         {"routes", routes},
                          {"services",
                           {{"archive", {{"health_path", "/health"}}},
                            {"claims", {{"health_path", "/health"}}}}},
@@ -210,7 +239,7 @@
 
   // Keeps its connection until the node is gone, as the platform's clients do.
   void CallOn(const Place& place) {
-    Caller caller(this->loop, this->ledger, WhereIs(place));
+    Caller caller(this->loop, this->ledger, WhereIs(place), true);
     while (!this->ending) {
       CallPlan plan;
       plan.repeatable = Draw(this->other_random, 0, 1) == 0;
@@ -220,11 +249,39 @@
     caller.Close();
   }
 
-  void Call(Caller& caller, CallPlan plan) {
+  // More callers while there is trouble, with long deadlines.
+  void PressOn(const Place& place, bool keeps_connections) {
+    Caller caller(this->loop, this->ledger, WhereIs(place), keeps_connections);
+    while (!this->ending) {
+      bool well = false;
+      if (this->busy) {
+        CallPlan plan;
+        plan.repeatable = Draw(this->press_random, 0, 1) == 0;
+        plan.long_route = Draw(this->press_random, 0, 2) > 0;
+        plan.deadline =
+            plan.long_route
+                ? milliseconds(Draw(this->press_random, 3000, 4500))
+                : milliseconds(Draw(this->press_random, 1500, 2500));
+        well = this->Call(caller, std::move(plan));
+      }
+      this->loop.SleepFor(well ? kCallPause : kRefusedPause);
+    }
+    caller.Close();
+  }
+
+  bool Call(Caller& caller, CallPlan plan) {
     plan.id = "a" + std::to_string(++this->last_id);
     ++this->calls_under_way;
-    caller.Call(plan);
+    const bool well = caller.Call(plan);
     --this->calls_under_way;
+    return well;
+  }
+
+  void SetBusy(bool next) {
+    this->busy = next;
+    std::ranges::for_each(this->places, [next](const auto& place) {
+      place->back_end->SetBusy(next);
+    });
   }
 
   // How late this process itself is.
@@ -268,6 +325,9 @@
       });
       this->loop.SleepFor(milliseconds(this->Between(50, 500)));
     }
+  }
+
+  void AwaitTrouble() {
     while (this->under_way > 0) {
       this->loop.SleepFor(kReapStep);
     }
@@ -301,6 +361,97 @@
     }
   }
 
+  // Planned work beside the other faults: nodes stop in series.
+  void MakeStops(Instant until) {
+    using Series = void (Soak::*)(int, milliseconds);
+    static const std::vector<Series> kSeries = {
+        &Soak::StopInTurn,     &Soak::StopTwoAtOnce, &Soak::StopAgain,
+        &Soak::StopThenReload, &Soak::StopTwice,     &Soak::StopAmidConfigs};
+    const auto between = [this](int least, int most) {
+      return Draw(this->stop_random, least, most);
+    };
+    while (Now() < until) {
+      const Series series =
+          kSeries[between(0, static_cast<int>(kSeries.size()) - 1)];
+      const int first = between(0, this->options.nodes - 1);
+      const milliseconds apart(between(0, 3000));
+      ++this->under_way;
+      this->loop.SpawnHere([this, series, first, apart] {
+        (this->*series)(first, apart);
+        --this->under_way;
+      });
+      this->loop.SleepFor(milliseconds(between(500, 2500)));
+    }
+  }
+
+  Place& PlaceAt(int number) {
+    return *this->places[number % this->options.nodes];
+  }
+
+  // False when the node does not run, or stops already.
+  bool StopLoaded(Place& place) {
+    const bool stops = place.process->running() && !place.stopping &&
+                       Now() - place.started >= kLoading;
+    if (stops) {
+      this->Stop(place, milliseconds(0));
+    }
+    return stops;
+  }
+
+  void StopInTurn(int first, milliseconds apart) {
+    for (int i = 0; i < this->options.nodes; ++i) {
+      this->StopLoaded(this->PlaceAt(first + i));
+      this->loop.SleepFor(apart / 2);
+    }
+  }
+
+  void StopTwoAtOnce(int first, milliseconds) {
+    this->StopLoaded(this->PlaceAt(first));
+    this->StopLoaded(this->PlaceAt(first + 1));
+  }
+
+  // Right after its restart.
+  void StopAgain(int first, milliseconds apart) {
+    Place& place = this->PlaceAt(first);
+    const Instant began = Now();
+    const auto restarted = [&] { return place.started > began; };
+    if (!this->StopLoaded(place)) {
+      return;
+    }
+    while (!restarted() && Now() < began + 2 * kGrace) {
+      this->loop.SleepFor(kReapStep);
+    }
+    this->loop.SleepFor(kLoading + apart / 5);
+    this->StopLoaded(place);
+  }
+
+  void StopThenReload(int first, milliseconds apart) {
+    Place& place = this->PlaceAt(first);
+    this->StopLoaded(place);
+    this->loop.SleepFor(apart);
+    this->Reload(place, milliseconds(0));
+  }
+
+  void StopTwice(int first, milliseconds apart) {
+    Place& place = this->PlaceAt(first);
+    const Instant start = place.started;
+    if (this->StopLoaded(place)) {
+      this->loop.SleepFor(apart);
+      if (place.started == start) {
+        place.process->Signal(SIGTERM);
+      }
+    }
+  }
+
+  void StopAmidConfigs(int first, milliseconds apart) {
+    constexpr int kConfigs = 5;
+    this->StopLoaded(this->PlaceAt(first));
+    for (int i = 0; i < kConfigs; ++i) {
+      this->Configure();
+      this->loop.SleepFor(apart / kConfigs);
+    }
+  }
+
   void Kill(Place& place, milliseconds) {
     place.history.OnKill(Now());
     place.process->Signal(SIGKILL);
@@ -454,6 +605,8 @@
   // restarts fell between them.
   std::mt19937_64 fault_random;
   std::mt19937_64 leave_random;
+  std::mt19937_64 stop_random;
+  std::mt19937_64 press_random{this->options.seed};
   std::mt19937_64 other_random;
   IoLoop loop;
   LogStore store;
@@ -467,6 +620,7 @@
   int under_way = 0;        // Faults.
   int calls_under_way = 0;  // Of callers.
   Instant::duration longest_stall{};
+  bool busy = false;
   bool ending = false;
 };
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -22,6 +22,8 @@
   std::uint64_t seed = 1;
   std::chrono::seconds length{10};  // Of the faults.
   int nodes = 6;
+  // Nothing but SIGTERM, SIGHUP and new configurations.
+  bool stops_only = false;
 };
 
 // Prints each broken promise and a summary; true when all were kept.
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -21,6 +21,7 @@
       cxxopts::value<std::uint64_t>()->default_value("1"))(
       "seconds", "of faults", cxxopts::value<int>()->default_value("10"))(
       "nodes", "processes", cxxopts::value<int>()->default_value("6"))(
+      "stops-only", "planned work alone: SIGTERM, SIGHUP, new configurations")(
       "h,help", "print this");
   try {
     const auto arguments = words.parse(argc, argv);
@@ -34,6 +35,7 @@
     options.seed = arguments["seed"].as<std::uint64_t>();
     options.length = std::chrono::seconds(arguments["seconds"].as<int>());
     options.nodes = arguments["nodes"].as<int>();
+    options.stops_only = arguments.count("stops-only") > 0;
     std::filesystem::create_directories(options.directory);
     signal(SIGPIPE, SIG_IGN);
     return tanagerledge::soak::RunSoak(options) ? 0 : 1;
