--- a/soak/back_end.cc
+++ b/soak/back_end.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -20,94 +21,37 @@
 // What a harmed link held back may still come.
 constexpr milliseconds kLinkForgiven{3000};
 constexpr int kSlots = 8;
+constexpr int kBusySlots = 2;
 constexpr int kLeastWorkMs = 5;
 constexpr int kMostWorkMs = 80;
+// Of a busy back end, these shares of the work.
+constexpr double kLongShare = 0.25;
+constexpr int kLeastLongWorkMs = 300;
+constexpr int kMostLongWorkMs = 2500;
+constexpr double kNestedShare = 0.5;
+constexpr int kMostNested = 4;  // One after the other.
 // A moody back end refuses and loses this share each.
 constexpr double kMoodShare = 0.2;
 
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
-constexpr int kTooMany = 429;
 constexpr int kServerError = 500;
-
-std::string BodyOf(std::string_view id) {
-  return "ran " + std::string(id);
-}
+constexpr int kTimedOut = 504;
 
 }  // namespace
 
-// Ledger ----------------------------------------------------------------------
-
-void Ledger::Asked(const std::string& id,
-                   bool repeatable,
-                   const std::string& caller) {
-  this->attempts[id] = {repeatable, caller, 0, 0};
-}
-
-void Ledger::Ran(const HttpRequest& request) {
-  const std::string id(request.Header("X-Attempt-Id"));
-  const auto found = this->attempts.find(id);
-  if (found == this->attempts.end()) {
-    this->faults.push_back(id + " ran and nobody asked for it");
-    return;
-  }
-  ++found->second.runs;
-  if (request.Header("X-Caller-Service") != found->second.caller) {
-    this->faults.push_back(id + " ran for a caller that it did not come from");
-  }
-}
-
-void Ledger::Answered(const std::string& id, const HttpResponse& answer) {
-  Attempt& attempt = this->attempts.at(id);
-  attempt.status = answer.status;
-  if (answer.status == kOk) {
-    ++this->served_count;
-    if (answer.body != BodyOf(id) || answer.Header("X-Server-Stamp").empty()) {
-      this->faults.push_back(id + " was answered with `" + answer.body + "`");
-    }
-  } else if (answer.status < kServerError && answer.status != kTooMany) {
-    this->faults.push_back(id + " was denied with " +
-                           std::to_string(answer.status));
-  }
-}
-
-void Ledger::CameAfterLeave(const std::string& id, milliseconds late) {
-  this->faults.push_back(id + " came " + std::to_string(late.count()) +
-                         " ms after the leave was acknowledged");
-}
-
-std::vector<std::string> Ledger::Faults() const {
-  std::vector<std::string> all = this->faults;
-  std::ranges::for_each(this->attempts, [&all](const auto& entry) {
-    const auto& [id, attempt] = entry;
-    const bool refused =
-        attempt.status == kUnavailable || attempt.status == kTooMany;
-    if (!attempt.repeatable && attempt.runs > 1) {
-      all.push_back(id + " ran " + std::to_string(attempt.runs) + " times");
-    }
-    if (!attempt.repeatable && refused && attempt.runs > 0) {
-      all.push_back(id + " was refused as not run, and ran");
-    }
-    if (attempt.status == kOk && attempt.runs == 0) {
-      all.push_back(id + " was answered and never ran");
-    }
-  });
-  return all;
-}
-
-// Back end --------------------------------------------------------------------
-
 BackEnd::BackEnd(IoLoop& io_loop,
                  Ledger& run_ledger,
-                 std::string service_name,
+                 CallerPlace own_place,
                  std::string node_admin_address,
                  std::uint64_t seed)
     : loop(io_loop),
       ledger(run_ledger),
-      service(std::move(service_name)),
+      place(std::move(own_place)),
       admin_address(std::move(node_admin_address)),
       random(seed),
+      own_calls(io_loop, run_ledger, this->place, true),
       server(io_loop, HttpServer::Handler([this](const HttpRequest& request) {
                return this->Answer(request);
              })) {
@@ -126,7 +70,7 @@
   ++this->starts;
   const bool keeps_name = this->leaving && this->leaving->keeps_name;
   if (!keeps_name) {
-    this->instance = this->service + "-" + this->proxy->address() + "-" +
+    this->instance = this->place.service + "-" + this->proxy->address() + "-" +
                      std::to_string(this->starts);
   }
   this->beats = 0;
@@ -205,19 +149,53 @@
     refusal.headers.push_back({"X-Not-Executed", "1"});
     return refusal;
   }
-  this->ledger.Ran(request);
-  std::uniform_int_distribution<int> work(kLeastWorkMs, kMostWorkMs);
+  const RunPtr run = this->ledger.Ran(request, *this->place.node, *this->proxy);
   const std::string began_as = this->instance;
-  this->loop.SleepFor(milliseconds(work(this->random)));
+  response.status = this->Work(request);
+  run->ended = Now();
   if (this->instance != began_as || (this->moody && this->Draw(kMoodShare))) {
     return std::nullopt;  // The answer is lost with the connection.
   }
-  response.body = BodyOf(id);
+  response.body = "ran " + id;
   response.headers.push_back({"X-Attempt-Id", id});
   response.headers.push_back({"X-Server-Stamp", "stamp-" + this->instance});
   return response;
 }
 
+// Takes its time, at most what the request has left; the status of the answer.
+int BackEnd::Work(const HttpRequest& request) {
+  const std::string id(request.Header("X-Attempt-Id"));
+  const std::string left(request.Header("X-Deadline-Ms"));
+  const Instant until =
+      Now() + milliseconds(std::strtol(left.c_str(), nullptr, 10));
+  const bool nested = id.find('.') != std::string::npos;
+  const bool is_long = this->busy && this->Draw(kLongShare);
+  const milliseconds work(is_long
+                              ? this->Between(kLeastLongWorkMs, kMostLongWorkMs)
+                              : this->Between(kLeastWorkMs, kMostWorkMs));
+  int calls = this->busy && !nested && this->Draw(kNestedShare)
+                  ? this->Between(1, kMostNested)
+                  : 0;
+  this->loop.SleepFor(std::min<Instant::duration>(work, until - Now()));
+  bool well = true;
+  while (well && calls-- > 0 && Now() < until) {
+    CallPlan plan;
+    plan.id = this->ledger.NestedId(id);
+    plan.repeatable = this->Draw(0.5);
+    plan.long_route = true;
+    plan.deadline = std::chrono::duration_cast<milliseconds>(until - Now());
+    well = this->own_calls.Call(plan);
+  }
+  if (Now() >= until) {
+    return kTimedOut;
+  }
+  return well ? kOk : kServerError;
+}
+
+int BackEnd::Between(int least, int most) {
+  return std::uniform_int_distribution<int>(least, most)(this->random);
+}
+
 void BackEnd::Beat() {
   if (!this->leaving) {
     this->last_ready = this->BeatBody("ready");
@@ -229,10 +207,12 @@
 }
 
 std::string BackEnd::BeatBody(const char* state) {
-  return nlohmann::json{
-      {"service", this->service},  {"address", this->proxy->address()},
-      {"slots", kSlots},           {"state", state},
-      {"sequence", ++this->beats}, {"born", this->born_ms}}
+  return nlohmann::json{{"service", this->place.service},
+                        {"address", this->proxy->address()},
+                        {"slots", this->busy ? kBusySlots : kSlots},
+                        {"state", state},
+                        {"sequence", ++this->beats},
+                        {"born", this->born_ms}}
       .dump();
 }
 
@@ -249,6 +229,7 @@
 
 void BackEnd::Close() {
   this->closed = true;
+  this->own_calls.Close();
   this->proxy->Close();
   this->server.Close();
 }
--- a/soak/back_end.h
+++ b/soak/back_end.h
@@ -6,12 +6,13 @@
 
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
 
+#include "soak/caller.h"
+#include "soak/ledger.h"
 #include "soak/proxy.h"
 #include "src/adapters/http_message.h"
 #include "src/adapters/http_server.h"
@@ -19,44 +20,19 @@
 
 namespace tanagerledge::soak {
 
-// What was asked and what became of it, by attempt id. The judge of the soak.
-class Ledger {
- public:
-  void Asked(const std::string& id, bool repeatable, const std::string& caller);
-  void Ran(const HttpRequest& request);
-  void Answered(const std::string& id, const HttpResponse& answer);
-  // A request reached a back end so long after its leave was acknowledged.
-  void CameAfterLeave(const std::string& id, std::chrono::milliseconds late);
-
-  // Each broken promise, in a line.
-  std::vector<std::string> Faults() const;
-  int served() const { return this->served_count; }
-  int asked() const { return static_cast<int>(this->attempts.size()); }
-
- private:
-  struct Attempt {
-    bool repeatable = false;
-    std::string caller;
-    int runs = 0;
-    int status = 0;  // Of the answer; 0 when none came.
-  };
-
-  std::map<std::string, Attempt> attempts;
-  std::vector<std::string> faults;
-  int served_count = 0;
-};
-
 class BackEnd {
  public:
   BackEnd(IoLoop& loop,
           Ledger& ledger,
-          std::string service_name,
+          CallerPlace own_place,
           std::string node_admin_address,
           std::uint64_t seed);
 
   // A crash and a new start at the same address, under another name.
   void StartAnew();
   void SetMoody(bool next) { this->moody = next; }
+  // Some work is long, and some makes a call of its own by the node.
+  void SetBusy(bool next) { this->busy = next; }
 
   // Says that it goes, suddenly or by heartbeats that say so, stays on, and is
   // replaced. One of its earlier heartbeats arrives late meanwhile. Waits.
@@ -72,18 +48,21 @@
 
  private:
   std::optional<HttpResponse> Answer(const HttpRequest& request);
+  int Work(const HttpRequest& request);
   void CheckLeave(const std::string& id);
   void Beat();
   std::string BeatBody(const char* state);
   bool Tell(const char* method, const std::string& body);
   void TellLeave();
   bool Draw(double chance);
+  int Between(int least, int most);
 
   IoLoop& loop;
   Ledger& ledger;
-  const std::string service;
+  const CallerPlace place;
   const std::string admin_address;
   std::mt19937_64 random;
+  Caller own_calls;
   HttpServer server;
   std::unique_ptr<Proxy> proxy;
   std::string instance;
@@ -94,6 +73,7 @@
   std::optional<Leave> leaving;
   std::optional<Instant> acknowledged;  // The leave, by the node.
   bool moody = false;  // Refuses some requests and loses some answers.
+  bool busy = false;
   bool closed = false;
 };
 
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -13,9 +13,11 @@
 #include "fakes/log_store.h"
 #include "platform/store_client.h"
 #include "soak/back_end.h"
+#include "soak/caller.h"
+#include "soak/ledger.h"
+#include "soak/node_history.h"
 #include "soak/node_process.h"
 #include "src/adapters/clock.h"
-#include "src/adapters/http_client.h"
 
 namespace tanagerledge::soak {
 namespace {
@@ -24,9 +26,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr milliseconds kCallTimeout{2500};
 constexpr milliseconds kCallPause{20};  // Between the calls of one caller.
+constexpr milliseconds kRefusedPause{100};
+constexpr milliseconds kLongTarget{3500};
+constexpr int kMoreCallers = 12;  // Beside each node, half keep theirs.
 constexpr milliseconds kReapStep{20};
+constexpr milliseconds kStall{20};
 constexpr milliseconds kLoading{300};  // Of a program; 20 ms when idle.
 constexpr milliseconds kStoreWrite{2000};
 // Membership needs 2.5 s to forgive a node, the store's list is read each
@@ -35,14 +40,16 @@
 constexpr seconds kGrace{6};
 // Of the calls after the recovery, so many are served.
 constexpr double kServedAfter = 0.9;
-constexpr int kOk = 200;
 
 int Draw(std::mt19937_64& random, int least, int most) {
   return std::uniform_int_distribution<int>(least, most)(random);
 }
 
-// A node, the back end beside it and its caller.
+// A node, the back end beside it and its callers.
 struct Place {
+  explicit Place(std::string name) : history(std::move(name)) {}
+
+  NodeHistory history;
   std::string service;
   std::string front;
   std::unique_ptr<Proxy> to_store;
@@ -59,6 +66,7 @@
       : options(std::move(soak_options)),
         fault_random(this->options.seed),
         leave_random(this->options.seed),
+        stop_random(this->options.seed),
         other_random(this->options.seed),
         store(this->loop) {}
 
@@ -84,11 +92,25 @@
     std::ranges::for_each(this->places, [this](const auto& place) {
       this->loop.Spawn([this, &place] { this->KeepRunning(*place); });
       this->loop.Spawn([this, &place] { this->CallOn(*place); });
+      for (int i = 0; i < kMoreCallers; ++i) {
+        this->loop.Spawn([this, &place, keeps = i % 2 == 0] {
+          this->PressOn(*place, keeps);
+        });
+      }
     });
+    this->loop.Spawn([this] { this->WatchStalls(); });
     this->loop.SleepFor(seconds(2));
+    this->SetBusy(true);
     const Instant until = Now() + this->options.length;
-    this->loop.SpawnHere([this, until] { this->MakeLeaves(until); });
-    this->MakeTrouble(until);
+    if (this->options.stops_only) {
+      this->MakeStops(until);
+    } else {
+      this->loop.SpawnHere([this, until] { this->MakeLeaves(until); });
+      this->loop.SpawnHere([this, until] { this->MakeStops(until); });
+      this->MakeTrouble(until);
+    }
+    this->AwaitTrouble();
+    this->SetBusy(false);
     this->loop.SleepFor(kRecovery);
     this->CheckRecovered();
     this->ending = true;
@@ -116,16 +138,28 @@
       return json{{"host", std::string(service) + ".example"},
                   {"path_prefix", "/x/"},
                   {"kind", kind},
-                  {"timeout_ms", 2000},
+                  {"timeout_ms", kShortTimeout.count()},
                   {"priority", 1},
                   {"target_latency_ms", 300},
                   {"service", service},
                   {"max_attempts", 3}};
     };
+    // Less urgent, so that its requests wait long.
+    const auto long_route = [&route](const char* service, const char* kind) {
+      json table = route(service, kind);
+      table["path_prefix"] = "/long/";
+      table["timeout_ms"] = kLongTimeout.count();
+      table["priority"] = 2;
+      table["target_latency_ms"] = kLongTarget.count();
+      return table;
+    };
+    const json routes = {
+        {"archive", route("archive", "idempotent")},
+        {"claims", route("claims", "non_idempotent")},
+        {"archive-long", long_route("archive", "idempotent")},
+        {"claims-long", long_route("claims", "non_idempotent")}};
     const json config = {{"version", ++this->version},
-                         {"routes",
-                          {{"archive", route("archive", "idempotent")},
-                           {"claims", route("claims", "non_idempotent")}}},
+                         {"routes", routes},
                          {"services",
                           {{"archive", {{"health_path", "/health"}}},
                            {"claims", {{"health_path", "/health"}}}}},
@@ -138,13 +172,13 @@
   }
 
   void AddPlace(int number) {
-    auto place = std::make_unique<Place>();
+    auto place = std::make_unique<Place>("node-" + std::to_string(number));
     place->service = number % 2 == 0 ? "archive" : "claims";
     place->front = this->NextAddress();
     place->to_store = std::make_unique<Proxy>(this->loop, this->store_address);
     const std::string admin = this->NextAddress();
     place->back_end = std::make_unique<BackEnd>(
-        this->loop, this->ledger, place->service, admin, this->other_random());
+        this->loop, this->ledger, WhereIs(*place), admin, this->other_random());
     const std::string path =
         this->options.directory + "/node-" + std::to_string(number) + ".ini";
     std::ofstream(path) << "[node]\nsource = platform\nfleet = soak-"
@@ -170,6 +204,7 @@
       if (!place.process->running()) {
         place.stopping = false;
         place.started = Now();
+        place.history.OnStart(place.started);
         if (!place.process->Start()) {
           this->faults.push_back("the node can't be started");
           return;
@@ -198,28 +233,68 @@
 
   // Callers -------------------------------------------------------------------
 
+  static CallerPlace WhereIs(const Place& place) {
+    return {place.service, place.front, &place.history};
+  }
+
   // Keeps its connection until the node is gone, as the platform's clients do.
   void CallOn(const Place& place) {
-    HttpClient client(this->loop, ParseAddress(place.front).value());
+    Caller caller(this->loop, this->ledger, WhereIs(place), true);
     while (!this->ending) {
-      const bool repeatable = Draw(this->other_random, 0, 1) == 0;
-      const std::string id = "a" + std::to_string(++this->last_id);
-      HttpRequest request;
-      request.method = "POST";
-      request.target = "/x/" + id;
-      request.body = id;
-      request.headers = {
-          {"Host", repeatable ? "archive.example" : "claims.example"},
-          {"X-Attempt-Id", id},
-          {"X-Deadline-Ms", "1500"}};
-      this->ledger.Asked(id, repeatable, place.service);
-      const auto answer = client.Send(request, kCallTimeout);
-      if (answer) {
-        this->ledger.Answered(id, *answer);
-      }
+      CallPlan plan;
+      plan.repeatable = Draw(this->other_random, 0, 1) == 0;
+      this->Call(caller, std::move(plan));
       this->loop.SleepFor(kCallPause);
     }
-    client.Close();
+    caller.Close();
+  }
+
+  // More callers while there is trouble, with long deadlines.
+  void PressOn(const Place& place, bool keeps_connections) {
+    Caller caller(this->loop, this->ledger, WhereIs(place), keeps_connections);
+    while (!this->ending) {
+      bool well = false;
+      if (this->busy) {
+        CallPlan plan;
+        plan.repeatable = Draw(this->press_random, 0, 1) == 0;
+        plan.long_route = Draw(this->press_random, 0, 2) > 0;
+        plan.deadline =
+            plan.long_route
+                ? milliseconds(Draw(this->press_random, 3000, 4500))
+                : milliseconds(Draw(this->press_random, 1500, 2500));
+        well = this->Call(caller, std::move(plan));
+      }
+      this->loop.SleepFor(well ? kCallPause : kRefusedPause);
+    }
+    caller.Close();
+  }
+
+  bool Call(Caller& caller, CallPlan plan) {
+    plan.id = "a" + std::to_string(++this->last_id);
+    ++this->calls_under_way;
+    const bool well = caller.Call(plan);
+    --this->calls_under_way;
+    return well;
+  }
+
+  void SetBusy(bool next) {
+    this->busy = next;
+    std::ranges::for_each(this->places, [next](const auto& place) {
+      place->back_end->SetBusy(next);
+    });
+  }
+
+  // How late this process itself is.
+  void WatchStalls() {
+    while (!this->ending) {
+      const Instant due = Now() + kReapStep;
+      this->loop.SleepFor(kReapStep);
+      const Instant::duration late = Now() - due;
+      if (late >= kStall) {
+        this->ledger.OnOwnStall(late);
+      }
+      this->longest_stall = std::max(this->longest_stall, late);
+    }
   }
 
   // Faults --------------------------------------------------------------------
@@ -250,6 +325,9 @@
       });
       this->loop.SleepFor(milliseconds(this->Between(50, 500)));
     }
+  }
+
+  void AwaitTrouble() {
     while (this->under_way > 0) {
       this->loop.SleepFor(kReapStep);
     }
@@ -273,7 +351,7 @@
       ++this->under_way;
       this->loop.SpawnHere([this, &place, leave, restarts, restarted_before] {
         if (restarts) {
-          place.process->Signal(SIGKILL);
+          this->Kill(place, milliseconds(0));
           this->loop.SleepFor(restarted_before);
         }
         place.back_end->RunLeave(leave);
@@ -283,20 +361,117 @@
     }
   }
 
-  void Kill(Place& place, milliseconds) { place.process->Signal(SIGKILL); }
+  // Planned work beside the other faults: nodes stop in series.
+  void MakeStops(Instant until) {
+    using Series = void (Soak::*)(int, milliseconds);
+    static const std::vector<Series> kSeries = {
+        &Soak::StopInTurn,     &Soak::StopTwoAtOnce, &Soak::StopAgain,
+        &Soak::StopThenReload, &Soak::StopTwice,     &Soak::StopAmidConfigs};
+    const auto between = [this](int least, int most) {
+      return Draw(this->stop_random, least, most);
+    };
+    while (Now() < until) {
+      const Series series =
+          kSeries[between(0, static_cast<int>(kSeries.size()) - 1)];
+      const int first = between(0, this->options.nodes - 1);
+      const milliseconds apart(between(0, 3000));
+      ++this->under_way;
+      this->loop.SpawnHere([this, series, first, apart] {
+        (this->*series)(first, apart);
+        --this->under_way;
+      });
+      this->loop.SleepFor(milliseconds(between(500, 2500)));
+    }
+  }
+
+  Place& PlaceAt(int number) {
+    return *this->places[number % this->options.nodes];
+  }
+
+  // False when the node does not run, or stops already.
+  bool StopLoaded(Place& place) {
+    const bool stops = place.process->running() && !place.stopping &&
+                       Now() - place.started >= kLoading;
+    if (stops) {
+      this->Stop(place, milliseconds(0));
+    }
+    return stops;
+  }
+
+  void StopInTurn(int first, milliseconds apart) {
+    for (int i = 0; i < this->options.nodes; ++i) {
+      this->StopLoaded(this->PlaceAt(first + i));
+      this->loop.SleepFor(apart / 2);
+    }
+  }
+
+  void StopTwoAtOnce(int first, milliseconds) {
+    this->StopLoaded(this->PlaceAt(first));
+    this->StopLoaded(this->PlaceAt(first + 1));
+  }
+
+  // Right after its restart.
+  void StopAgain(int first, milliseconds apart) {
+    Place& place = this->PlaceAt(first);
+    const Instant began = Now();
+    const auto restarted = [&] { return place.started > began; };
+    if (!this->StopLoaded(place)) {
+      return;
+    }
+    while (!restarted() && Now() < began + 2 * kGrace) {
+      this->loop.SleepFor(kReapStep);
+    }
+    this->loop.SleepFor(kLoading + apart / 5);
+    this->StopLoaded(place);
+  }
+
+  void StopThenReload(int first, milliseconds apart) {
+    Place& place = this->PlaceAt(first);
+    this->StopLoaded(place);
+    this->loop.SleepFor(apart);
+    this->Reload(place, milliseconds(0));
+  }
+
+  void StopTwice(int first, milliseconds apart) {
+    Place& place = this->PlaceAt(first);
+    const Instant start = place.started;
+    if (this->StopLoaded(place)) {
+      this->loop.SleepFor(apart);
+      if (place.started == start) {
+        place.process->Signal(SIGTERM);
+      }
+    }
+  }
+
+  void StopAmidConfigs(int first, milliseconds apart) {
+    constexpr int kConfigs = 5;
+    this->StopLoaded(this->PlaceAt(first));
+    for (int i = 0; i < kConfigs; ++i) {
+      this->Configure();
+      this->loop.SleepFor(apart / kConfigs);
+    }
+  }
+
+  void Kill(Place& place, milliseconds) {
+    place.history.OnKill(Now());
+    place.process->Signal(SIGKILL);
+  }
 
   void Stop(Place& place, milliseconds) {
     if (place.process->running() && !place.stopping) {
       place.stopping = true;
       place.stop_until = Now() + kGrace;
+      place.history.OnStop(Now());
       place.process->Signal(SIGTERM);
     }
   }
 
   void Pause(Place& place, milliseconds length) {
+    place.history.OnPause();
     place.process->Signal(SIGSTOP);
     this->loop.SleepFor(length);
     place.process->Signal(SIGCONT);
+    place.history.OnContinue(Now());
     place.stop_until += length;  // A paused node can't end.
   }
 
@@ -379,6 +554,9 @@
 
   void StopAll() {
     std::ranges::for_each(this->places, [](const auto& place) {
+      if (!place->stopping) {
+        place->history.OnStop(Now());
+      }
       place->process->Signal(SIGTERM);
     });
     const Instant until = Now() + kGrace;
@@ -388,6 +566,11 @@
     if (this->AnyRuns()) {
       this->faults.push_back("a node outlived its grace time at the end");
     }
+    // With the nodes gone, what is still under way ends at once.
+    const Instant heard_until = Now() + seconds(1);
+    while (Now() < heard_until && this->calls_under_way > 0) {
+      this->loop.SleepFor(kReapStep);
+    }
     std::ranges::for_each(this->places, [](const auto& place) {
       place->process->Signal(SIGKILL);
       place->back_end->Close();
@@ -408,9 +591,12 @@
     std::ranges::for_each(this->faults, [](const std::string& fault) {
       std::cout << "broken: " << fault << "\n";
     });
-    std::cout << "seed " << this->options.seed << ": " << this->ledger.asked()
-              << " asked, " << this->ledger.served() << " served, "
-              << this->faults.size() << " broken" << std::endl;
+    std::cout
+        << "seed " << this->options.seed << ": " << this->ledger.asked()
+        << " asked, " << this->ledger.served() << " served, "
+        << this->ledger.unanswered() << " without an answer, longest stall "
+        << std::chrono::duration_cast<milliseconds>(this->longest_stall).count()
+        << " ms, " << this->faults.size() << " broken" << std::endl;
     return this->faults.empty();
   }
 
@@ -419,6 +605,8 @@
   // restarts fell between them.
   std::mt19937_64 fault_random;
   std::mt19937_64 leave_random;
+  std::mt19937_64 stop_random;
+  std::mt19937_64 press_random{this->options.seed};
   std::mt19937_64 other_random;
   IoLoop loop;
   LogStore store;
@@ -429,7 +617,10 @@
   int version = 0;
   int ports_given = 0;
   std::uint64_t last_id = 0;
-  int under_way = 0;
+  int under_way = 0;        // Faults.
+  int calls_under_way = 0;  // Of callers.
+  Instant::duration longest_stall{};
+  bool busy = false;
   bool ending = false;
 };
 
