Release notes: a connection that brought a refusal is not used again

What callers saw: with back ends by release notes, too, a refusal that a faulty back end writes once more on a kept connection was told to the next caller ("not-run backend-refused") while the back end ran its call; another endpoint, had there been one, would have been tried.

Cause: these back ends name no attempt in their answers, so Executor can't tell an earlier refusal from the answer to this call.

Now the connection on which a back end says not-run is closed after it. A later call is on another one, where that refusal cannot come. True refusals count as before; each costs a new connection on the same machine. That cost was not measured.

Before, CallPathTest.RefusalRepeatedOnAKeptConnection_IsNotTakenForTheNextCall: "not-run backend-refused", wanted "ok none". After: passes, and it begins with a true refusal that is told as such.

Not covered: any other answer that comes once more (an earlier success taken for the next call's). That needs an id in the answers of these back ends.

The scripted back end moves to fakes/, since two test folders use it.

--- a/tests/sidecar/scripted_back_end.h
+++ b/fakes/scripted_back_end.h
@@ -1,8 +1,8 @@
 // A back end whose bytes a test chooses, for faults that a server by the book
 // cannot have.
 
-#ifndef TANAGERLEDGE_TESTS_SIDECAR_SCRIPTED_BACK_END_H_
-#define TANAGERLEDGE_TESTS_SIDECAR_SCRIPTED_BACK_END_H_
+#ifndef TANAGERLEDGE_FAKES_SCRIPTED_BACK_END_H_
+#define TANAGERLEDGE_FAKES_SCRIPTED_BACK_END_H_
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
@@ -109,4 +109,4 @@
 
 }  // namespace tanagerledge
 
-#endif  // TANAGERLEDGE_TESTS_SIDECAR_SCRIPTED_BACK_END_H_
+#endif  // TANAGERLEDGE_FAKES_SCRIPTED_BACK_END_H_
--- a/fakes/small_mesh.cc
+++ b/fakes/small_mesh.cc
@@ -57,6 +57,7 @@
   this->nodes.push_back(
       std::make_unique<Node>(settings, platform::ConnectStore));
   this->back_ends.emplace_back();
+  this->admin_addresses.push_back(settings.admin_address);
   this->back_end_addresses.emplace_back();
   if (!this->nodes.back()->Start()) {
     return {};
--- a/fakes/small_mesh.h
+++ b/fakes/small_mesh.h
@@ -48,6 +48,10 @@
   void ShutDownNode(std::size_t index);
 
   LogStore& log() { return this->log_store; }
+  // Where a back end beside the node announces itself.
+  const std::string& admin_address(std::size_t index) const {
+    return this->admin_addresses[index];
+  }
   const std::string& back_end_address(std::size_t index) const {
     return this->back_end_addresses[index];
   }
@@ -62,6 +66,7 @@
   NodeId seed;
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<std::unique_ptr<BackEnd>> back_ends;
+  std::vector<std::string> admin_addresses;
   std::vector<std::string> back_end_addresses;
 };
 
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -261,6 +261,9 @@
     auto answer = this->ReadAnswer(connection, request.method == "HEAD");
     const bool ours = answer && answer->status >= kFirstFinalStatus &&
                       (!exchange.belongs || exchange.belongs(*answer));
+    if (answer && ours && exchange.keeps && !exchange.keeps(*answer)) {
+      connection.reusable = false;
+    }
     if (!answer || ours) {
       return answer;
     }
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -58,6 +58,9 @@
   std::string id;
   // On a new connection: for a request whose answers bear no id.
   bool on_new_connection = false;
+  // False for an answer after which the connection is not used again, so that
+  // it cannot come once more as the answer to another request.
+  std::function<bool(const HttpResponse&)> keeps;
   // False for an answer that belongs to another request: it is read past.
   std::function<bool(const HttpResponse&)> belongs;
   // Asked when a connection is there, right before the first byte: what was
--- a/src/node/executor.cc
+++ b/src/node/executor.cc
@@ -30,6 +30,10 @@
           .count());
 }
 
+bool SaysNotRun(const HttpResponse& answer) {
+  return answer.Header(kOutcomeHeader) == ToText(Outcome::kNotRun);
+}
+
 }  // namespace
 
 // One call on its way through the executor.
@@ -165,13 +169,17 @@
     add(kNeedMarkHeader, std::to_string(request.write_mark));
   }
   this->Expose(call);
-  const auto answer = link.Send(call.back_end.back_end, out, left);
+  ExchangeOptions exchange;
+  exchange.keeps = [](const HttpResponse& answer) {
+    return !SaysNotRun(answer);
+  };
+  const auto answer = link.Send(call.back_end.back_end, out, left, exchange);
   this->Unexpose(call, !answer && answer.error().may_have_arrived);
   if (!answer) {
     return this->OnNoAnswer(link, call, answer.error());
   }
   this->suspects.RanSafely(call.fingerprint, call.suspect);
-  if (answer->Header(kOutcomeHeader) == ToText(Outcome::kNotRun)) {
+  if (SaysNotRun(*answer)) {
     const Reason reason =
         answer->Header(kReasonHeader) == ToText(Reason::kSessionBehind)
             ? Reason::kSessionBehind
--- a/tests/node/call_path_test.cc
+++ b/tests/node/call_path_test.cc
@@ -2,11 +2,13 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "fakes/scripted_back_end.h"
 #include "fakes/small_mesh.h"
 #include "src/adapters/logging.h"
 #include "src/node/call_headers.h"
@@ -164,6 +166,50 @@
   EXPECT_EQ(this->Stats()["runs"], before);
 }
 
+// The back end writes its refusal again while it runs the next call there.
+TEST_F(CallPathTest,
+       RefusalRepeatedOnAKeptConnection_IsNotTakenForTheNextCall) {
+  using Parts = std::vector<ScriptedBackEnd::Part>;
+  const std::string refusal =
+      "HTTP/1.1 503 Service Unavailable\r\ntanagerledge-outcome: not-run\r\n"
+      "Content-Length: 0\r\n\r\n";
+  const std::string success = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  std::atomic<bool> refuse{false};
+  std::atomic<bool> repeat{false};
+  IoLoop loop;
+  ScriptedBackEnd back_end(loop, [&](const HttpRequest&, int nth) {
+    if (refuse) {
+      return Parts{{refusal}};
+    }
+    return repeat && nth > 0 ? Parts{{refusal}, {success, milliseconds(20)}}
+                             : Parts{{success}};
+  });
+  loop.Start();
+  this->mesh.Publish(kNote);
+  this->entry = this->mesh.AddNode({});
+  HttpRequest announcement;
+  announcement.method = "POST";
+  announcement.target = "/announce";
+  announcement.body =
+      nlohmann::json{{"service", "claims"}, {"address", back_end.address()},
+                     {"slots", 4},          {"connections", 8},
+                     {"state", "ready"},    {"instance", "1"}}
+          .dump();
+  EXPECT_EQ(this->mesh.Send(this->mesh.admin_address(0), announcement)->status,
+            200);
+  EXPECT_TRUE(this->mesh.AwaitServed(this->entry, "/read"));
+  refuse = true;
+  EXPECT_EQ(OutcomeOf(this->Call("POST", "/claim")), "not-run backend-refused");
+  refuse = false;
+  repeat = true;
+  EXPECT_EQ(OutcomeOf(this->Call("POST", "/claim")), "ok none");
+  loop.Spawn([&] {
+    back_end.Close();
+    loop.Stop();
+  });
+  loop.Join();
+}
+
 TEST_F(CallPathTest, NoRouteMatches_IsNotRun) {
   this->StartServing();
   const HttpResponse response = this->Call("GET", "/elsewhere");
--- a/tests/sidecar/owner_test.cc
+++ b/tests/sidecar/owner_test.cc
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
+#include "fakes/scripted_back_end.h"
 #include "platform/platform.h"
 #include "src/node/call_messages.h"
-#include "tests/sidecar/scripted_back_end.h"
 
 namespace tanagerledge {
 namespace {
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -22,11 +22,11 @@
 #include <vector>
 
 #include "fakes/log_store.h"
+#include "fakes/scripted_back_end.h"
 #include "platform/platform.h"
 #include "platform/store_client.h"
 #include "src/adapters/fiber_sync.h"
 #include "src/adapters/http_client.h"
-#include "tests/sidecar/scripted_back_end.h"
 
 namespace tanagerledge {
 namespace {
