Soak: a node that has ended has not outlived its grace time

By the nodes' logs each had stopped 5.5 s after the signal and had been reaped; the watch then waits 100 to 800 ms before the next start, and looked at the time after that pause. It now looks only while the process runs: the bound is the same, of the process itself.

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -216,7 +216,8 @@
         this->CheckEnd(place, *code);
         this->loop.SleepFor(milliseconds(Draw(this->other_random, 100, 800)));
       }
-      if (place.stopping && Now() > place.stop_until) {
+      if (place.process->running() && place.stopping &&
+          Now() > place.stop_until) {
         this->faults.push_back("a node outlived its grace time");
         place.stop_until += std::chrono::hours(1);  // Told once.
       }
