A suspect that waits for its turn is refused when its node's stop gives up

What callers would see: a call that a node suspects of killing back ends, and that waits for its turn since before the node's stop, was not withdrawn with the others five sixths into the grace: its caller's connection was cut without an answer when the process ended.

Cause: the wait for a turn lasts up to the call's own deadline and knew nothing of the stop. Same class as the calls that waited in queues.

Before, OwnerTest.SuspectWaitsAtTheEndOfAStop_IsRefusedAsNotRun: no reply 100 ms after the giving up; the test ended at the call's deadline (401 ms), failed. After: 3 of 3 pass; 35 tests of the owner pass.

--- a/src/node/suspect_host.cc
+++ b/src/node/suspect_host.cc
@@ -161,7 +161,7 @@
 
 SuspectVerdict SuspectHost::AwaitLease(Fingerprint fingerprint,
                                        Instant deadline) {
-  while (Now() < deadline) {
+  while (Now() < deadline && !this->giving_up) {
     switch (this->Look(fingerprint)) {
       case Standing::kClear:
         return SuspectVerdict::kRun;
--- a/src/node/suspect_host.h
+++ b/src/node/suspect_host.h
@@ -52,6 +52,9 @@
   // Any fiber of any loop. Waits for a suspect's turn, up to the deadline.
   SuspectVerdict Admit(Fingerprint fingerprint, Instant deadline);
 
+  // Any fiber: nobody waits for a suspect's turn any longer.
+  void GiveUpWaits() { this->giving_up = true; }
+
   // Any fiber: a call admitted with kRunLeased was answered by the back end.
   void RanSafely(Fingerprint fingerprint, SuspectVerdict verdict);
 
@@ -73,6 +76,7 @@
   std::mutex mutex;             // Guards `table`; held for no wait.
   SuspectTable table;
   std::atomic<std::size_t> known{0};
+  std::atomic<bool> giving_up{false};
 };
 
 }  // namespace tanagerledge
--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -453,6 +453,7 @@
 
 void Owner::GiveUp() {
   this->giving_up = true;
+  this->suspects.GiveUpWaits();
   this->Carry(this->queue.Flush(Reason::kShuttingDown));
   std::ranges::for_each(this->calls, [](const auto& entry) {
     if (entry.second->break_off) {
--- a/tests/sidecar/owner_test.cc
+++ b/tests/sidecar/owner_test.cc
@@ -5,8 +5,10 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/fiber/fiber.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -169,6 +171,30 @@
   });
 }
 
+// One suspect runs at a time, the next one waits for its turn.
+TEST_F(OwnerTest, SuspectWaitsAtTheEndOfAStop_IsRefusedAsNotRun) {
+  this->WithBackEnd(
+      [](const HttpRequest&, int) {
+        return std::vector<Part>{{Success("a-1"), 2 * kPatience}};
+      },
+      [&] {
+        this->suspects.BackEndDied({FingerprintOf({""}, "POST", "/x/1", "")});
+        wire::CallReply running;
+        std::optional<wire::CallReply> waiting;
+        boost::fibers::fiber first([&] { running = this->Call("a-1"); });
+        boost::fibers::fiber second([&] { waiting = this->Call("a-2"); });
+        this->loop.SleepFor(kPatience / 4);
+        EXPECT_FALSE(waiting.has_value());
+        this->owner.GiveUp();
+        this->loop.SleepFor(kPatience / 4);
+        EXPECT_TRUE(waiting.has_value());
+        first.join();
+        second.join();
+        ExpectNotRun(*waiting);
+        EXPECT_EQ(ToText(OutcomeOf(running)), ToText(Outcome::kUnknown));
+      });
+}
+
 class RepeatedRefusalTest : public OwnerTest,
                             public testing::WithParamInterface<Refusal> {
  protected:
