A connection that its caller asked to close ends like one that the server ends

Cause: only connections that the server ended by itself were half closed and read until the caller had its answer; the others were closed with unread bytes.

After: StoppingServerTest.CallerAsksToClose_SentMoreMeanwhile_ArrivesWhole passes.

Tests that an answer is there now ask for the whole answer.

--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -305,7 +305,7 @@
                          written.error.message());
   }
   connection.answered = true;
-  if (written && keep_alive && !response.keep_alive()) {
+  if (written && !response.keep_alive()) {
     connection.phase = Connection::Phase::kEnding;
   }
   return written && response.keep_alive();
--- a/tests/adapters/http_server_test.cc
+++ b/tests/adapters/http_server_test.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
 #include <chrono>
 #include <functional>
 #include <string>
@@ -157,10 +158,10 @@
 TEST_F(StoppingServerTest, IdleConnectionClosed_RequestUnreadInIt_IsAnswered) {
   this->Run([this](tcp::socket& caller) {
     Send(caller);
-    EXPECT_NE(this->ReadUntil(caller, kBody), "");
+    EXPECT_TRUE(this->ReadUntil(caller, kBody).ends_with(kBody));
     Send(caller);
     this->server.CloseIdle();
-    EXPECT_NE(this->ReadUntil(caller, kBody), "");
+    EXPECT_TRUE(this->ReadUntil(caller, kBody).ends_with(kBody));
   });
 }
 
@@ -170,14 +171,14 @@
     this->loop.SleepFor(milliseconds(20));
     this->server.CloseIdle();
     boost::asio::write(caller, boost::asio::buffer(kRequest.substr(9)));
-    EXPECT_NE(this->ReadUntil(caller, kBody), "");
+    EXPECT_TRUE(this->ReadUntil(caller, kBody).ends_with(kBody));
   });
 }
 
 TEST_F(StoppingServerTest, IdleConnectionsClosed_NothingSent_CallerSeesTheEnd) {
   this->Run([this](tcp::socket& caller) {
     Send(caller);
-    EXPECT_NE(this->ReadUntil(caller, kBody), "");
+    EXPECT_TRUE(this->ReadUntil(caller, kBody).ends_with(kBody));
     this->loop.SleepFor(milliseconds(20));
     this->server.CloseIdle();
     EXPECT_EQ(this->ReadUntil(caller, kBody), "");
@@ -190,7 +191,7 @@
   this->Run([this](tcp::socket& caller) {
     Send(caller);
     this->server.Drain();
-    EXPECT_NE(this->ReadUntil(caller, kBody), "");
+    EXPECT_TRUE(this->ReadUntil(caller, kBody).ends_with(kBody));
   });
 }
 
@@ -207,5 +208,51 @@
   });
 }
 
+TEST_F(StoppingServerTest, CallerAsksToClose_SentMoreMeanwhile_ArrivesWhole) {
+  this->body = std::string(2'000'000, 'a') + "end";
+  this->Run([this](tcp::socket& caller) {
+    const std::string request =
+        "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    boost::asio::write(caller, boost::asio::buffer(request));
+    this->loop.SleepFor(milliseconds(20));
+    boost::asio::write(caller, boost::asio::buffer("\r\n", 2));
+    EXPECT_GT(this->ReadUntil(caller, "end", milliseconds(1)).size(),
+              this->body.size());
+  });
+}
+
+// The second request has been taken from the socket and is not parsed yet.
+TEST_F(StoppingServerTest, ConnectionClosedAsARequestIsRead_IsNotHandled) {
+  int handled = 0;
+  HttpServer slow(this->loop, HttpServer::Handler([&](const HttpRequest&) {
+                    ++handled;
+                    this->loop.SleepFor(milliseconds(50));
+                    return std::optional(MakeResponse(200, "a/b", this->body));
+                  }));
+  const auto bound = slow.Accept(*ParseAddress("127.0.0.1:0"));
+  this->loop.Spawn([&] {
+    tcp::socket caller(this->loop.context());
+    caller.connect(*bound);
+    Send(caller);
+    this->loop.SleepFor(milliseconds(25));
+    Send(caller);
+    bool read = false;
+    this->loop.SpawnHere([&] {
+      while (!read) {
+        slow.CloseIdle();
+        boost::this_fiber::yield();
+      }
+    });
+    const std::string answers = this->ReadUntil(caller, "never");
+    read = true;
+    this->loop.SleepFor(milliseconds(100));
+    EXPECT_EQ(handled, 1);
+    EXPECT_TRUE(answers.ends_with(kBody));
+    slow.Close();
+    this->loop.Stop();
+  });
+  this->loop.Run();
+}
+
 }  // namespace
 }  // namespace tanagerledge
