A value that a fiber was given is not replaced by a later one

A reply that had come, and whose fiber had not resumed, could be replaced by the loss of its link or by the giving up of a stop: its caller got 502 for an answer that was there.

--- a/src/adapters/fiber_sync.h
+++ b/src/adapters/fiber_sync.h
@@ -16,12 +16,17 @@
 
 // A value that one fiber waits for and another one gives, once. Both may run on
 // different threads. The giver must not outlive the object: share it if it may.
+// The first value stays: an answer is not replaced by a loss that comes later.
 template <typename Value>
 class FiberSlot {
  public:
-  void Give(Value given) {
+  void Give(Value value_given) {
     const std::scoped_lock lock(this->mutex);
-    this->value = std::move(given);
+    if (this->given) {
+      return;
+    }
+    this->given = true;
+    this->value = std::move(value_given);
     this->signal.notify_one();
   }
 
@@ -37,6 +42,7 @@
   boost::fibers::mutex mutex;
   boost::fibers::condition_variable signal;
   std::optional<Value> value;
+  bool given = false;
 };
 
 // Runs `work` in a fiber of another loop and waits for its value; empty when
