A stop leaves time for the answers that it asks for, and writes down a late leave

The limit is now the begin of that sixth, and calls are given up a quarter of the sixth later, so that an own answer falls into the part in which a back end that still works is excused. - A leave that a back end told later than 1.3 s into a stop was acknowledged and not written to the store: what the fleet was told had not changed. - Callers that do not close took the links' time to end; links have theirs now. - Calls that wait for a connection to the back end are given up too (read only, no test).

--- a/src/execution/stop_plan.cc
+++ b/src/execution/stop_plan.cc
@@ -14,13 +14,14 @@
 // misses: until then its callers go on sending.
 constexpr milliseconds kCallersLeave{2300};
 // The platform excuses calls that are still at work in the last sixth of the
-// grace, and ends the process after it. Half of the sixth is for answers.
-constexpr int kAnswerTwelfths = 10;
-constexpr int kEndTwelfths = 11;
-constexpr int kTwelfths = 12;
-// From a back end's answer at its time limit to the entry: two hops, each late
-// by some 10 ms on a slow machine, and their margins of 25 and 60 ms.
-constexpr milliseconds kWayBack{200};
+// grace, and ends the process after it. So time limits are brought forward to
+// its begin at most, and an answer at the limit has a quarter of it to come
+// back: two hops, each late by some 10 ms on a slow machine, and their margins
+// of 25 and 60 ms. Another quarter is for writing answers.
+constexpr int kLimitParts = 20;
+constexpr int kAnswerParts = 21;
+constexpr int kEndParts = 22;
+constexpr int kParts = 24;
 // Work takes 20 ms and more.
 constexpr milliseconds kLeastWork{20};
 
@@ -38,17 +39,17 @@
 }
 
 Instant StopPlan::answer_by() const {
-  return this->start + this->grace * kAnswerTwelfths / kTwelfths;
+  return this->start + this->grace * kAnswerParts / kParts;
 }
 
 Instant StopPlan::end_by() const {
-  return this->start + this->grace * kEndTwelfths / kTwelfths;
+  return this->start + this->grace * kEndParts / kParts;
 }
 
 std::optional<Instant> StopPlan::LimitOf(Instant deadline,
                                          microseconds work,
                                          Instant now) const {
-  const Instant latest = this->answer_by() - kWayBack;
+  const Instant latest = this->start + this->grace * kLimitParts / kParts;
   if (deadline <= latest) {
     return deadline;
   }
--- a/src/sidecar/owner.cc
+++ b/src/sidecar/owner.cc
@@ -460,6 +460,7 @@
       entry.second->break_off();
     }
   });
+  this->link.Close();  // Calls that wait for a connection.
 }
 
 EndpointState Owner::State() const {
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -27,7 +27,7 @@
 constexpr milliseconds kHintLife{5000};
 constexpr milliseconds kShutdownStep{20};
 // From a cancel to the reply of the node that it goes to.
-constexpr milliseconds kWithdrawal{250};
+constexpr milliseconds kWithdrawal{100};
 // The platform owes no answer to a request that was sent later than 200 ms
 // before its connection closes.
 constexpr milliseconds kLastRequests{200};
@@ -457,11 +457,14 @@
 void Sidecar::TellBackEnd() {
   const auto& back_end = this->owner.back_end();
   const EndpointState state = this->owner.State();
-  if (!back_end || (state == this->told_state &&
-                    back_end->instance == this->told_instance)) {
+  const EndpointState own_state = this->owner.BackEndState();
+  if (!back_end ||
+      (state == this->told_state && own_state == this->told_own_state &&
+       back_end->instance == this->told_instance)) {
     return;
   }
   this->told_state = state;
+  this->told_own_state = own_state;
   this->told_instance = back_end->instance;
   this->events.Write(
       "back end",
@@ -470,7 +473,7 @@
        {"state", static_cast<std::int64_t>(state)},
        {"slots", std::int64_t{back_end->slots}},
        {"sequence", static_cast<std::int64_t>(back_end->sequence)}});
-  this->directory.Tell(*back_end, this->owner.BackEndState());
+  this->directory.Tell(*back_end, own_state);
   if (state == EndpointState::kDraining) {
     this->membership.Drain();
     return;
@@ -699,8 +702,8 @@
   const auto due = [&] {
     this->front.CloseIdle();
     const HttpServer::Occupancy callers = this->front.Occupied();
-    return callers.unanswered() > 0 || callers.ending > 0 ||
-           this->peers.unwritten() > 0 ||
+    return callers.unanswered() > 0 || this->peers.unwritten() > 0 ||
+           (callers.ending > 0 && Now() < plan.end_by() - kPeersClose) ||
            (this->front.open_connections() > 0 && Now() < last_request);
   };
   while (due() && Now() < plan.end_by()) {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -115,6 +115,7 @@
   std::uint64_t unanswered = 0;  // Requests; those of callers that left aside.
   // What the fleet was told last of the back end.
   EndpointState told_state = EndpointState::kGone;
+  EndpointState told_own_state = EndpointState::kGone;  // Without our stop.
   std::string told_instance;
 };
 
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -30,8 +30,10 @@
 #include "fakes/scripted_back_end.h"
 #include "platform/platform.h"
 #include "platform/store_client.h"
+#include "src/adapters/codec.h"
 #include "src/adapters/fiber_sync.h"
 #include "src/adapters/http_client.h"
+#include "src/generated/peer_types.h"
 
 namespace tanagerledge {
 namespace {
@@ -865,6 +867,30 @@
   stop.get();
 }
 
+// The next start of the node must know, whatever late heartbeats say.
+TEST_F(SidecarTest, BackEndLeavesLateInTheStop_IsWrittenDown) {
+  this->StopSlowly();
+  const Settings& archive = this->Start("archive");
+  ASSERT_TRUE(this->StartClaimsFor(archive));
+  this->Beat(archive, this->first_back_end);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+  auto stop = this->Stop(0);
+  std::this_thread::sleep_for(milliseconds(1700));
+  this->Beat(archive, this->first_back_end, "draining");
+  stop.get();
+  const auto state = this->OnLoop([&] {
+    const auto client =
+        platform::ConnectStore(this->stand_ins, this->store_address);
+    const auto page = client->ReadNewest(this->platform.NodeStream(), kTimeout);
+    client->Close();
+    const auto listed = std::ranges::find(page->records, archive.address.value,
+                                          &KeyedRecord::key);
+    return Decode<wire::NodeRecord>(listed->value)->state;
+  });
+  EXPECT_EQ(state, static_cast<std::int32_t>(EndpointState::kDraining));
+}
+
 TEST_F(SidecarTest, StoppedRightAfterItsStart_EndsInTime) {
   this->grace = milliseconds(6000);
   this->Start("archive");
