--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -29,6 +29,9 @@
   posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, kOwnFile);
   posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  // A socket of the soak that a node held open would not end with its close.
+  constexpr int kFirstOther = STDERR_FILENO + 1;
+  posix_spawn_file_actions_addclosefrom_np(&files, kFirstOther);
   // The soak blocks signals for itself; the node begins with none blocked.
   posix_spawnattr_t attributes;
   posix_spawnattr_init(&attributes);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -211,16 +211,15 @@
         }
       }
       this->loop.SleepFor(kReapStep);
-      if (const auto code = place.process->Reap();
-          code && !place.process->running()) {
-        this->CheckEnd(place, *code);
-        this->loop.SleepFor(milliseconds(Draw(this->other_random, 100, 800)));
-      }
-      if (place.process->running() && place.stopping &&
-          Now() > place.stop_until) {
+      const auto code = place.process->Reap();
+      if (place.stopping && Now() > place.stop_until) {
         this->faults.push_back("a node outlived its grace time");
         place.stop_until += std::chrono::hours(1);  // Told once.
       }
+      if (code && !place.process->running()) {
+        this->CheckEnd(place, *code);
+        this->loop.SleepFor(milliseconds(Draw(this->other_random, 100, 800)));
+      }
     }
   }
 
