Soak: SIGTERM, like SIGHUP, waits until the program is loaded

The series of stops wait 300 ms after a start, and so does SIGHUP; the single stop did not. What the check asks of an end is as it was.

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -388,12 +388,16 @@
     return *this->places[number % this->options.nodes];
   }
 
-  // False when the node does not run, or stops already.
+  // False when the node does not run, is being loaded, or stops already.
   bool StopLoaded(Place& place) {
+    const Instant now = Now();
     const bool stops = place.process->running() && !place.stopping &&
-                       Now() - place.started >= kLoading;
+                       now - place.started >= kLoading;
     if (stops) {
-      this->Stop(place, milliseconds(0));
+      place.stopping = true;
+      place.stop_until = now + kGrace;
+      place.history.OnStop(now);
+      place.process->Signal(SIGTERM);
     }
     return stops;
   }
@@ -457,14 +461,7 @@
     place.process->Signal(SIGKILL);
   }
 
-  void Stop(Place& place, milliseconds) {
-    if (place.process->running() && !place.stopping) {
-      place.stopping = true;
-      place.stop_until = Now() + kGrace;
-      place.history.OnStop(Now());
-      place.process->Signal(SIGTERM);
-    }
-  }
+  void Stop(Place& place, milliseconds) { this->StopLoaded(place); }
 
   void Pause(Place& place, milliseconds length) {
     place.history.OnPause();
