Soak: single stops come at any moment again; an end by SIGTERM is in order only before loading

Stops come again at any moment. An end by the signal itself is in order only within 300 ms of the start: a loaded program blocks the signal first thing. Any other end in that time is judged as before, and later ones too.

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -225,7 +225,10 @@
 
   void CheckEnd(const Place& place, int code) {
     const bool killed = code == -SIGKILL;
-    if (!killed && (code != 0 || !place.stopping)) {
+    // A loaded program blocks the signal and can't end by it.
+    const bool unloaded = code == -SIGTERM && place.stopping &&
+                          place.stop_until - kGrace - place.started < kLoading;
+    if (!killed && !unloaded && (code != 0 || !place.stopping)) {
       this->faults.push_back("a node of " + place.service + " ended with " +
                              std::to_string(code));
     }
@@ -390,14 +393,10 @@
 
   // False when the node does not run, is being loaded, or stops already.
   bool StopLoaded(Place& place) {
-    const Instant now = Now();
     const bool stops = place.process->running() && !place.stopping &&
-                       now - place.started >= kLoading;
+                       Now() - place.started >= kLoading;
     if (stops) {
-      place.stopping = true;
-      place.stop_until = now + kGrace;
-      place.history.OnStop(now);
-      place.process->Signal(SIGTERM);
+      this->Stop(place, milliseconds(0));
     }
     return stops;
   }
@@ -461,7 +460,14 @@
     place.process->Signal(SIGKILL);
   }
 
-  void Stop(Place& place, milliseconds) { this->StopLoaded(place); }
+  void Stop(Place& place, milliseconds) {
+    if (place.process->running() && !place.stopping) {
+      place.stopping = true;
+      place.stop_until = Now() + kGrace;
+      place.history.OnStop(Now());
+      place.process->Signal(SIGTERM);
+    }
+  }
 
   void Pause(Place& place, milliseconds length) {
     place.history.OnPause();
