--- a/src/sidecar/config_host.cc
+++ b/src/sidecar/config_host.cc
@@ -29,6 +29,12 @@
 // the node's own zone may be cut off as a whole.
 constexpr int kQuestionsPerOtherZone = 3;
 constexpr std::size_t kMaxConfigBytes = 16 * 1024 * 1024;
+// A read that takes this long after the store had a record is logged.
+constexpr milliseconds kSlowRead{500};
+
+milliseconds Since(Instant start) {
+  return std::chrono::duration_cast<milliseconds>(Now() - start);
+}
 
 }  // namespace
 
@@ -71,8 +77,14 @@
 // Store -----------------------------------------------------------------------
 
 void ConfigHost::Execute(const ReadNewestConfig&) {
+  const Instant asked = Now();
   auto page =
       this->store.ReadNewest(this->platform.ConfigStream(), kStoreTimeout);
+  if (Since(asked) >= kSlowRead) {
+    this->events.Write("store read slow",
+                       {{"took_ms", Since(asked).count()},
+                        {"answered", std::int64_t{page.has_value()}}});
+  }
   if (!page) {
     this->OnStoreError(page.error());
     return;
@@ -138,8 +150,16 @@
     wire::ConfigQuestion question;
     question.known_version =
         static_cast<std::int64_t>(this->follower.version().value_or(0));
+    const Instant asked = Now();
     const auto bytes = this->peers.Request(*peer, Channel::kConfig,
                                            Encode(question), kPeerTimeout);
+    this->events.Write(
+        "peer asked for configuration",
+        {{"peer", peer->value},
+         {"known", question.known_version},
+         {"bytes", static_cast<std::int64_t>(bytes ? bytes->size() : 0)},
+         {"took_ms", Since(asked).count()},
+         {"error", bytes ? std::string() : bytes.error().text}});
     if (bytes) {
       this->OnPeerAnswer(*peer, *bytes);
     }
@@ -222,6 +242,11 @@
     if (in_same_zone || !this->peer_with_newer) {
       this->peer_with_newer = from;
     }
+    this->events.Write("newer version announced",
+                       {{"version", notice->version},
+                        {"known", static_cast<std::int64_t>(
+                                      this->follower.version().value_or(0))},
+                        {"from", from.value}});
     this->follower.OnPeerVersion(version, Now());
   }
 }
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -252,6 +252,64 @@
   boost::asio::ip::tcp::socket socket;
 };
 
+// A client of the store whose reads get no answer while `silent` is set, like
+// those on a connection that was lost without notice.
+class SilenceableStore : public KeyedLogPort {
+ public:
+  SilenceableStore(IoLoop& io_loop,
+                   const std::string& address,
+                   const std::atomic<bool>& silence)
+      : loop(io_loop),
+        client(platform::ConnectStore(io_loop, address)),
+        silent(silence) {}
+
+  tl::expected<LogPage, LogError> Read(std::string_view stream,
+                                       LogOffset from,
+                                       std::size_t max_records,
+                                       milliseconds wait,
+                                       milliseconds timeout) override {
+    const Instant until = std::chrono::steady_clock::now() + timeout;
+    auto page = this->client->Read(stream, from, max_records, wait, timeout);
+    return this->OrSilence(std::move(page), until);
+  }
+  tl::expected<KeyedPage, LogError> ReadNewest(std::string_view stream,
+                                               milliseconds timeout) override {
+    const Instant until = std::chrono::steady_clock::now() + timeout;
+    return this->OrSilence(this->client->ReadNewest(stream, timeout), until);
+  }
+  tl::expected<LogOffset, LogError> Append(std::string_view stream,
+                                           std::string_view record,
+                                           milliseconds timeout) override {
+    return this->client->Append(stream, record, timeout);
+  }
+  tl::expected<LogOffset, LogError> Put(std::string_view stream,
+                                        std::string_view key,
+                                        std::string_view value,
+                                        milliseconds timeout) override {
+    return this->client->Put(stream, key, value, timeout);
+  }
+  tl::expected<KeyedRecord, std::string> DecodeKeyed(
+      const LogRecord& record) const override {
+    return this->client->DecodeKeyed(record);
+  }
+  void Close() override { this->client->Close(); }
+
+ private:
+  template <typename Page>
+  tl::expected<Page, LogError> OrSilence(tl::expected<Page, LogError> page,
+                                         Instant until) {
+    if (!this->silent) {
+      return page;
+    }
+    this->loop.SleepFor(until - std::chrono::steady_clock::now());
+    return tl::unexpected(LogError{LogErrorKind::kAmbiguous, "silence", {}});
+  }
+
+  IoLoop& loop;
+  std::unique_ptr<KeyedLogPort> client;
+  const std::atomic<bool>& silent;
+};
+
 class SidecarTest : public ::testing::Test {
  protected:
   SidecarTest()
@@ -301,13 +359,25 @@
     node->service = {service};
     node->bounds.grace = this->grace;
     node->heartbeat_period = this->heartbeat_period;
-    this->sidecars.push_back(std::make_unique<Sidecar>(*node, this->platform,
-                                                       platform::ConnectStore));
+    this->sidecars.push_back(
+        std::make_unique<Sidecar>(*node, this->platform, this->connect_store));
     EXPECT_TRUE(this->sidecars.back()->Start().has_value());
     this->nodes.push_back(std::move(node));
     return *this->nodes.back();
   }
 
+  // The same with a client of the store that `store_is_silent` silences.
+  const Settings& StartSilenceable(const std::string& service,
+                                   std::vector<NodeId> seeds) {
+    this->connect_store = [this](IoLoop& loop, const std::string& address) {
+      return std::make_unique<SilenceableStore>(loop, address,
+                                                this->store_is_silent);
+    };
+    const Settings& node = this->Start(service, std::move(seeds));
+    this->connect_store = platform::ConnectStore;
+    return node;
+  }
+
   // Stops a sidecar and starts a new one with the same settings and no state.
   void Restart(std::size_t index) {
     this->sidecars[index]->Shutdown();
@@ -476,8 +546,15 @@
     return backend.Ran().size() == before;
   }
 
-  bool Eventually(const std::function<bool()>& holds) {
-    const Instant until = std::chrono::steady_clock::now() + seconds(10);
+  bool HasVersion(const Settings& node, int version) {
+    return this->Send(node.metrics_address, {})
+               .body.find("tanagerledge_config_version " +
+                          std::to_string(version) + "\n") != std::string::npos;
+  }
+
+  bool Eventually(const std::function<bool()>& holds,
+                  milliseconds within = seconds(10)) {
+    const Instant until = std::chrono::steady_clock::now() + within;
     while (std::chrono::steady_clock::now() < until) {
       if (holds()) {
         return true;
@@ -496,6 +573,8 @@
   RawBackend raw_backend;
   std::deque<ScriptedBackend> scripted_backends;
   std::string store_address;
+  StoreConnector connect_store = platform::ConnectStore;
+  std::atomic<bool> store_is_silent{false};  // For nodes of StartSilenceable.
   std::vector<std::unique_ptr<Settings>> nodes;
   std::vector<std::unique_ptr<Sidecar>> sidecars;
   milliseconds grace{1500};
@@ -649,6 +728,21 @@
             std::string::npos);
 }
 
+// A version must be in force 2 s after the store has acknowledged it.
+TEST_F(SidecarTest, StoreSilentTowardsOneNode_VersionIsInForceInTime) {
+  const Settings& archive = this->Start("archive");
+  const Settings& claims = this->StartSilenceable("claims", {archive.address});
+  this->Configure(1);
+  ASSERT_TRUE(this->Eventually([&] {
+    return this->HasVersion(archive, 1) && this->HasVersion(claims, 1);
+  }));
+  std::this_thread::sleep_for(seconds(1));  // The node waits at the store.
+  this->store_is_silent = true;
+  this->Configure(2);
+  EXPECT_TRUE(this->Eventually([&] { return this->HasVersion(claims, 2); },
+                               milliseconds(2000)));
+}
+
 TEST_F(SidecarTest, StoppedDuringCall_CallerGetsItsAnswer) {
   this->grace = milliseconds(3000);
   const Settings& archive = this->Start("archive");
