Config: a version reaches nodes that the store does not serve

Cause: told once, by nobody. A node waits at the store for up to 13 s and does not notice that the store is silent towards it. Other nodes announced a version only if they had lost the store themselves, and a newer version in a probe of membership did not count as a change. A peer that hung held back the next question for 3 s. With a store that takes 0.85 s, a record that had been replaced was skipped and cost another 0.85 s, after a pause of 0.6 s.

Change: each node announces each version to six nodes at random (four of its zone); probes make a node that is behind ask. Two peers are asked at a time, one that announced the version first, and at once while the store fails. A held read that was overtaken for 1.5 s is abandoned. The pause between reads is shortened by the time that the store takes, and a slow read's record is used though it has been replaced.

Evidence: SidecarTest.StoreSilentTowardsOneNode_VersionIsInForceInTime failed before, each time.

--- a/include/tanagerledge/config_follower.h
+++ b/include/tanagerledge/config_follower.h
@@ -6,11 +6,13 @@
 // by long polling, so an idle store costs few calls. It queries a peer after a
 // store read has failed, when it has no configuration soon after its start, and
 // when a peer reports a newer version that the store does not deliver in time.
-// When versions follow each other quickly, only the newest one is read.
+// A store read that the store held while it had a newer version is abandoned:
+// the store or the connection is silent. When versions follow each other
+// quickly, only the newest one is read.
 //
 // The class performs no I/O and reads no clock: it takes events and the time
-// and returns actions. At most one store read and one peer query are pending at
-// a time.
+// and returns actions. At most one store read, besides abandoned ones, and two
+// peer queries are pending at a time.
 
 #ifndef TANAGERLEDGE_CONFIG_FOLLOWER_H_
 #define TANAGERLEDGE_CONFIG_FOLLOWER_H_
@@ -39,8 +41,13 @@
 // Asks a connected peer for a newer configuration.
 struct AskPeerForConfig {};
 
-using FollowAction =
-    std::variant<ReadNewestConfig, ReadConfigRecords, AskPeerForConfig>;
+// The pending store read gets no answer. Its result must not be reported.
+struct AbandonStoreRead {};
+
+using FollowAction = std::variant<ReadNewestConfig,
+                                  ReadConfigRecords,
+                                  AskPeerForConfig,
+                                  AbandonStoreRead>;
 using FollowActions = std::vector<FollowAction>;
 
 struct ConfigFollowerConfig {
@@ -51,8 +58,12 @@
   // Delay from a new version to the next read, so that versions that follow
   // each other quickly are read in one call. Otherwise every node makes a call
   // for each version. A version must be active within 2 s; on average, half of
-  // this delay counts toward that limit.
+  // this delay counts toward that limit. The time that an immediate answer of
+  // the store takes is deducted: a slow store delays the next read as well.
   std::chrono::milliseconds batch_delay{600};
+  // A record that took this long is used although it has been replaced, since
+  // the next one may take as long to arrive.
+  std::chrono::milliseconds slow_answer{500};
   // Delay after a failed read, doubled up to max_retry_delay. Including the
   // time that a read of a silent store takes, a node reads the store again
   // within 2 s of its recovery. The platform's limits apply again 3 s after the
@@ -64,10 +75,24 @@
   std::chrono::milliseconds start_grace{1000};
   // Interval between peer queries while the store does not answer.
   std::chrono::milliseconds peer_query_interval{500};
+  // The same after a peer that had nothing newer, while this node is behind.
+  std::chrono::milliseconds next_peer_delay{100};
+  // A peer may hang until its connection is found dead, so a second one is
+  // queried meanwhile.
+  int max_peer_queries = 2;
   // When a peer has reported a newer version, how long to wait for the store
   // before querying the peer. A configuration has about 50 KB and must not be
   // sent across zones needlessly, and it must be active within 2 s.
   std::chrono::milliseconds store_grace{700};
+  // The same for a store read that began after the report: the store has the
+  // version, and half a MB takes 0.7 s over a link of 7 Mbit/s.
+  std::chrono::milliseconds read_grace{900};
+  // A store read that began before the report is abandoned after this time. The
+  // store answers it when it has the version.
+  std::chrono::milliseconds silence_timeout{1500};
+  // A reported version that cannot be had for this long does not count as newer
+  // any more.
+  std::chrono::milliseconds max_time_behind{15000};
 };
 
 class ConfigFollower {
@@ -92,16 +117,30 @@
 
   // Makes `version` the active one and returns true if it is newer than the
   // active one; otherwise changes nothing and returns false.
-  bool AcceptIfNewer(std::uint64_t version);
+  bool AcceptIfNewer(std::uint64_t version, Instant now);
 
   std::optional<std::uint64_t> version() const { return this->active_version; }
+  // Whether a peer has a newer version, which this node will have soon.
+  bool IsBehind(Instant now) const {
+    return this->behind_since &&
+           now - *this->behind_since < this->config.max_time_behind;
+  }
   bool store_answers() const { return this->store_failures == 0; }
+  // Whether to use a record that the pending read returns although the store
+  // has a newer one.
+  bool UsesReplacedRecord(Instant now) const {
+    return now - this->store_read_began >= this->config.slow_answer;
+  }
 
  private:
-  void OnStoreAnswered();
-  bool IsBehind() const {
-    return this->newest_peer_version > this->active_version.value_or(0);
-  }
+  void OnStoreAnswered(Instant now);
+  Instant NextBatchAt(Instant now) const;
+  // Whether the store should have delivered the peers' version by now.
+  bool IsStoreOverdue(Instant now) const;
+  // Whether the pending read got no answer although the store has a newer
+  // version.
+  bool IsStoreSilent(Instant now) const;
+  void CountStoreFailure(Instant now);
 
   ConfigFollowerConfig config;
   std::optional<std::uint64_t> active_version;
@@ -112,10 +151,16 @@
   // The offset of the next read; without one, the newest record is read.
   std::optional<LogOffset> next_offset;
   bool store_read_pending = false;
-  bool peer_query_pending = false;
+  Instant store_read_began{};
+  bool store_read_held = false;  // The pending read waits for a record.
+  // How long the last read took that did not wait for a record.
+  Instant::duration answer_time{};
+  // When a peer first had a newer version than the pending read has delivered.
+  std::optional<Instant> read_overtaken_at;
+  int pending_peer_queries = 0;
   std::uint64_t newest_peer_version = 0;
-  std::optional<Instant>
-      behind_since;        // When a peer first had a newer version.
+  // When a peer first had a version newer than the active one.
+  std::optional<Instant> behind_since;
   int store_failures = 0;  // Consecutive.
   Instant next_store_read_at{};
   Instant next_peer_query_at{};
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -834,6 +834,9 @@
   }
   if (message.release >= 0) {
     record.release = {static_cast<std::uint64_t>(message.release)};
+    // Only a node that is behind needs to know at once. The others would report
+    // a change for each node that puts a release into force.
+    this->changed |= record.release > this->table.self().release;
   }
   const auto incarnation = static_cast<std::uint64_t>(message.incarnation);
   if (record.unconfirmed && incarnation == record.incarnation.value) {
--- a/src/sidecar/config_host.cc
+++ b/src/sidecar/config_host.cc
@@ -7,6 +7,7 @@
 
 #include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
+#include "src/distribution/announcement_targets.h"
 #include "src/distribution/compression.h"
 
 namespace tanagerledge {
@@ -18,9 +19,6 @@
 // configuration of 3,000 routes takes 0.8 s over a link of 7 Mbit/s. Probes
 // detect dead connections sooner than this timeout.
 constexpr milliseconds kStoreTimeout{3000};
-// After a store failure, other nodes may be unable to reach the store for this
-// long: outages of the platform last some seconds.
-constexpr std::chrono::seconds kNotifyPeersDuration{15};
 // A peer's link may be as slow, and several nodes may ask the peer at once.
 // With a shorter timeout the question would be repeated and the first answer
 // wasted.
@@ -28,6 +26,7 @@
 // One in this many questions goes to a peer in another availability zone, since
 // the node's own zone may be cut off as a whole.
 constexpr int kQuestionsPerOtherZone = 3;
+constexpr std::size_t kMaxPeersWithNewer = 4;
 constexpr std::size_t kMaxConfigBytes = 16 * 1024 * 1024;
 // A read that takes this long after the store had a record is logged.
 constexpr milliseconds kSlowRead{500};
@@ -43,13 +42,15 @@
                        KeyedLogPort& store_port,
                        const PlatformPort& platform_port,
                        EventLog& event_log,
+                       std::uint64_t seed,
                        Sink config_sink)
     : loop(io_loop),
       peers(peer_transport),
       store(store_port),
       platform(platform_port),
       events(event_log),
-      sink(std::move(config_sink)) {}
+      sink(std::move(config_sink)),
+      random(seed) {}
 
 void ConfigHost::OnTick() {
   std::ranges::for_each(
@@ -69,14 +70,22 @@
     if (member.node != self && IsLive(member)) {
       (member.zone == zone ? this->same_zone_peers : this->other_zone_peers)
           .push_back(member.node);
+      if (member.release.value > this->follower.version().value_or(0)) {
+        this->RememberPeerWithNewer(member.node);
+      }
       this->follower.OnPeerVersion(member.release.value, Now());
     }
   });
 }
 
+bool ConfigHost::IsBehind() const {
+  return this->follower.IsBehind(Now());
+}
+
 // Store -----------------------------------------------------------------------
 
 void ConfigHost::Execute(const ReadNewestConfig&) {
+  const std::uint64_t read = this->current_read;
   const Instant asked = Now();
   auto page =
       this->store.ReadNewest(this->platform.ConfigStream(), kStoreTimeout);
@@ -86,7 +95,9 @@
                         {"answered", std::int64_t{page.has_value()}}});
   }
   if (!page) {
-    this->OnStoreError(page.error());
+    if (!this->IsAbandoned(read)) {
+      this->OnStoreError(page.error());
+    }
     return;
   }
   std::ranges::for_each(page->records, [this](const KeyedRecord& record) {
@@ -94,19 +105,24 @@
       this->ProcessRecord(record);
     }
   });
-  this->follower.OnNewest(page->end, Now());
+  if (!this->IsAbandoned(read)) {
+    this->follower.OnNewest(page->end, Now());
+  }
 }
 
 void ConfigHost::Execute(const ReadConfigRecords& action) {
   constexpr std::size_t kOneRecord = 1;
+  const std::uint64_t read = this->current_read;
   auto page =
       this->store.Read(this->platform.ConfigStream(), action.from, kOneRecord,
                        action.wait, action.wait + kStoreTimeout);
   if (!page) {
-    this->OnStoreError(page.error());
+    if (!this->IsAbandoned(read)) {
+      this->OnStoreError(page.error());
+    }
     return;
   }
-  if (!this->store_was_answering) {
+  if (!this->store_was_answering && !this->IsAbandoned(read)) {
     this->store_was_answering = true;
     this->events.Write("store answers again", {});
   }
@@ -117,14 +133,25 @@
     const auto keyed = this->store.DecodeKeyed(record);
     // Skips a record that has been replaced since: parsing it takes a node with
     // a tenth of a core 0.1 s or more.
-    const bool replaced = page->end.value > next.value;
+    const bool skipped = page->end.value > next.value &&
+                         !this->follower.UsesReplacedRecord(Now());
     if (!keyed) {
       this->events.Write("store record unreadable", {{"error", keyed.error()}});
-    } else if (keyed->key == this->platform.ConfigKey() && !replaced) {
+    } else if (keyed->key == this->platform.ConfigKey() && !skipped) {
       this->ProcessRecord(*keyed);
     }
   }
-  this->follower.OnRecords(next, page->end, Now());
+  if (!this->IsAbandoned(read)) {
+    this->follower.OnRecords(next, page->end, Now());
+  }
+}
+
+void ConfigHost::Execute(const AbandonStoreRead&) {
+  ++this->current_read;
+  this->store_was_answering = false;
+  this->events.Write(
+      "store does not answer",
+      {{"error", "a newer version exists, the waiting read got no answer"}});
 }
 
 void ConfigHost::ProcessRecord(const KeyedRecord& record) {
@@ -139,7 +166,6 @@
     this->store_was_answering = false;
     this->events.Write("store does not answer", {{"error", error.text}});
   }
-  this->notify_peers_until = Now() + kNotifyPeersDuration;
   this->follower.OnStoreError(error.kind, Now());
 }
 
@@ -193,8 +219,12 @@
 // help. Peers in the same availability zone are preferred, since a
 // configuration has up to half a MB.
 std::optional<NodeId> ConfigHost::NextPeer() {
-  if (this->peer_with_newer) {
-    return std::exchange(this->peer_with_newer, std::nullopt);
+  while (!this->peers_with_newer.empty()) {
+    const NodeId peer = this->peers_with_newer.front();
+    this->peers_with_newer.pop_front();
+    if (this->peers.IsConnected(peer)) {
+      return peer;
+    }
   }
   const auto next_connected = [this](std::vector<NodeId>& nodes) {
     if (!nodes.empty()) {
@@ -237,11 +267,7 @@
   }
   const auto version = static_cast<std::uint64_t>(notice->version);
   if (version > this->follower.version().value_or(0)) {
-    const bool in_same_zone = std::ranges::find(this->same_zone_peers, from) !=
-                              this->same_zone_peers.end();
-    if (in_same_zone || !this->peer_with_newer) {
-      this->peer_with_newer = from;
-    }
+    this->RememberPeerWithNewer(from);
     this->events.Write("newer version announced",
                        {{"version", notice->version},
                         {"known", static_cast<std::int64_t>(
@@ -255,13 +281,36 @@
   wire::ConfigAnswer notice;
   notice.version = static_cast<std::int64_t>(version);
   const std::string bytes = Encode(notice);
-  const auto notify = [&](const NodeId& node) {
-    if (this->peers.IsConnected(node)) {
-      this->peers.Send(node, Channel::kConfig, bytes);
-    }
+  const auto connected = [this](const std::vector<NodeId>& nodes) {
+    std::vector<NodeId> found;
+    std::ranges::copy_if(
+        nodes, std::back_inserter(found),
+        [this](const NodeId& node) { return this->peers.IsConnected(node); });
+    return found;
   };
-  std::ranges::for_each(this->same_zone_peers, notify);
-  std::ranges::for_each(this->other_zone_peers, notify);
+  std::ranges::for_each(ChooseAnnouncementTargets(
+                            connected(this->same_zone_peers),
+                            connected(this->other_zone_peers), this->random),
+                        [&](const NodeId& node) {
+                          this->peers.Send(node, Channel::kConfig, bytes);
+                        });
+}
+
+void ConfigHost::RememberPeerWithNewer(const NodeId& peer) {
+  if (std::ranges::find(this->peers_with_newer, peer) !=
+      this->peers_with_newer.end()) {
+    return;
+  }
+  const bool in_same_zone = std::ranges::find(this->same_zone_peers, peer) !=
+                            this->same_zone_peers.end();
+  if (in_same_zone) {
+    this->peers_with_newer.push_front(peer);
+  } else {
+    this->peers_with_newer.push_back(peer);
+  }
+  if (this->peers_with_newer.size() > kMaxPeersWithNewer) {
+    this->peers_with_newer.pop_back();
+  }
 }
 
 // Current configuration -------------------------------------------------------
@@ -274,7 +323,7 @@
     return false;
   }
   const std::uint64_t version = (*mesh)->version();
-  if (!this->follower.AcceptIfNewer(version)) {
+  if (!this->follower.AcceptIfNewer(version, Now())) {
     return false;
   }
   this->content = next;
@@ -285,9 +334,10 @@
        {"from", source},
        {"routes", static_cast<std::int64_t>((*mesh)->routes().size())}});
   this->sink(std::move(*mesh));
-  if (Now() < this->notify_peers_until) {
-    this->NotifyPeers(version);
+  if (!this->IsBehind()) {
+    this->peers_with_newer.clear();
   }
+  this->NotifyPeers(version);
   return true;
 }
 
--- a/src/sidecar/config_host.h
+++ b/src/sidecar/config_host.h
@@ -6,9 +6,12 @@
 #ifndef TANAGERLEDGE_SRC_SIDECAR_CONFIG_HOST_H_
 #define TANAGERLEDGE_SRC_SIDECAR_CONFIG_HOST_H_
 
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +36,7 @@
              KeyedLogPort& store,
              const PlatformPort& platform,
              EventLog& events,
+             std::uint64_t seed,
              Sink sink);
 
   // Must be called about every 20 ms.
@@ -42,6 +46,8 @@
                   const Zone& zone);
 
   bool store_answers() const { return this->follower.store_answers(); }
+  // Whether another node has a newer configuration.
+  bool IsBehind() const;
 
   // Answers another node that asks for a newer configuration than it has.
   std::string OnPeerQuestion(std::string_view question);
@@ -52,12 +58,18 @@
   void Execute(const ReadNewestConfig& action);
   void Execute(const ReadConfigRecords& action);
   void Execute(const AskPeerForConfig& action);
+  void Execute(const AbandonStoreRead& action);
+  bool IsAbandoned(std::uint64_t read) const {
+    return read != this->current_read;
+  }
   void OnStoreError(const LogError& error);
   // Processes a record of the store, unless it was the last one processed.
   void ProcessRecord(const KeyedRecord& record);
   // Puts a configuration into effect if it is newer; returns whether it did.
   bool ApplyIfNewer(std::string_view content, std::string_view source);
   void NotifyPeers(std::uint64_t version);
+  // Remembers a node with a newer configuration, which is asked first.
+  void RememberPeerWithNewer(const NodeId& peer);
   std::optional<NodeId> NextPeer();
   void OnPeerAnswer(const NodeId& peer, std::string_view bytes);
 
@@ -77,12 +89,11 @@
   int peer_questions = 0;
   // The last record processed from the store.
   std::optional<LogOffset> last_processed;
-  // A peer that announced a newer version.
-  std::optional<NodeId> peer_with_newer;
+  // Peers that announced a newer version; those of the own zone come first.
+  std::deque<NodeId> peers_with_newer;
+  std::uint64_t current_read = 0;  // Changes when a store read is abandoned.
   bool store_was_answering = true;
-  // Until then, a new configuration is announced to the other nodes, because
-  // the store may not answer all of them.
-  Instant notify_peers_until{};
+  std::mt19937_64 random;
 };
 
 }  // namespace tanagerledge
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -157,6 +157,7 @@
               *this->store,
               this->platform,
               this->events,
+              this->identity.incarnation.value,
               [this](std::shared_ptr<const MeshConfig> next) {
                 this->OnConfig(std::move(next));
               }),
--- a/tests/distribution/config_follower_test.cc
+++ b/tests/distribution/config_follower_test.cc
@@ -98,10 +98,10 @@
 }
 
 TEST_F(ConfigFollowerTest, OlderOrSameVersion_IsNeverAccepted) {
-  EXPECT_TRUE(this->follower.AcceptIfNewer(7));
-  EXPECT_FALSE(this->follower.AcceptIfNewer(7));
-  EXPECT_FALSE(this->follower.AcceptIfNewer(3));
-  EXPECT_TRUE(this->follower.AcceptIfNewer(9));
+  EXPECT_TRUE(this->follower.AcceptIfNewer(7, this->now));
+  EXPECT_FALSE(this->follower.AcceptIfNewer(7, this->now));
+  EXPECT_FALSE(this->follower.AcceptIfNewer(3, this->now));
+  EXPECT_TRUE(this->follower.AcceptIfNewer(9, this->now));
 }
 
 TEST_F(ConfigFollowerTest, HistoryExpired_ReadsTheNewestAtOnce) {
@@ -151,10 +151,10 @@
 TEST_F(ConfigFollowerTest, StoreDeliversPeersVersionInTime_NoPeerIsAsked) {
   this->Tick();
   this->follower.OnNewest({4}, this->now);
-  this->follower.AcceptIfNewer(7);
+  this->follower.AcceptIfNewer(7, this->now);
   this->follower.OnPeerVersion(8, this->now);
   this->Tick(milliseconds(100));
-  this->follower.AcceptIfNewer(8);
+  this->follower.AcceptIfNewer(8, this->now);
   for (int i = 0; i < 40; ++i) {
     EXPECT_FALSE(HasAction<AskPeerForConfig>(this->Tick(milliseconds(50))));
   }
@@ -163,7 +163,7 @@
 TEST_F(ConfigFollowerTest, StoreDoesNotDeliverPeersVersion_PeerIsAskedInTime) {
   this->Tick();
   this->follower.OnNewest({4}, this->now);
-  this->follower.AcceptIfNewer(7);
+  this->follower.AcceptIfNewer(7, this->now);
   this->Tick();
   this->follower.OnPeerVersion(7, this->now);
   EXPECT_FALSE(HasAction<AskPeerForConfig>(this->Tick()));
