--- a/src/sidecar/mesh_entry.cc
+++ b/src/sidecar/mesh_entry.cc
@@ -36,6 +36,8 @@
 // 7 Mbit/s. Callers spend at most a third of their time waiting and retry once
 // or twice.
 constexpr milliseconds kNotReadyRetryDelay{600};
+// A node that knows of a newer version has it within this time on average.
+constexpr milliseconds kBehindRetryDelay{400};
 // Changes of a backend server reach the other nodes with membership probes and
 // the node list in the store, which is written after the same delay.
 constexpr milliseconds kNoEndpointRetryDelay{100};
@@ -128,9 +130,15 @@
   call->mesh = this->mesh;
   call->route = call->mesh->Match(caller->host, request.target);
   if (call->route == nullptr) {
+    const bool behind = this->is_behind();
     this->events.Write("no route", {{"id", caller->attempt_id},
                                     {"host", caller->host},
-                                    {"target", request.target}});
+                                    {"target", request.target},
+                                    {"behind", std::int64_t{behind}}});
+    if (behind) {
+      return this->platform.ToCallerResponse(
+          {Outcome::kNotRun, Reason::kNodeNotReady, kBehindRetryDelay});
+    }
     return this->platform.ToCallerResponse(
         {Outcome::kNotRun, Reason::kNoRoute});
   }
--- a/src/sidecar/mesh_entry.h
+++ b/src/sidecar/mesh_entry.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -56,6 +57,11 @@
 
   // Sets the configuration that later requests use.
   void SetConfig(std::shared_ptr<const MeshConfig> next);
+  // `check` says whether another node has a newer configuration. A route that
+  // is unknown here may exist there.
+  void SetBehindCheck(std::function<bool()> check) {
+    this->is_behind = std::move(check);
+  }
   void SetCallerService(ServiceName service) {
     this->config.caller_service = service;
   }
@@ -103,6 +109,7 @@
   EventLog& events;
   CallMetrics& metrics;
   std::shared_ptr<const MeshConfig> mesh;
+  std::function<bool()> is_behind = [] { return false; };
   WeightedSplit split;
   Placement placement;
   FleetRetryBudget retries;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -195,6 +195,7 @@
       [this](const HttpRequest& request, const UnansweredRequest& what) {
         this->LogUnanswered(request, what);
       });
+  this->entry.SetBehindCheck([this] { return this->configs.IsBehind(); });
   this->RegisterMetrics();
 }
 
@@ -575,6 +576,9 @@
   add_gauge("tanagerledge_config_version",
             "Version of the configuration in force.",
             [this] { return this->mesh ? this->mesh->version() : 0; });
+  add_gauge("tanagerledge_config_behind",
+            "1 while another node has a newer configuration.",
+            [this] { return this->configs.IsBehind(); });
   add_gauge("tanagerledge_store_answers",
             "1 unless the last request to the store failed.",
             [this] { return this->configs.store_answers(); });
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -391,8 +391,8 @@
   }
 
   // Publishes an operator configuration with this version, which routes to the
-  // services archive and claims by host.
-  void Configure(int version) {
+  // services archive and claims by host, and from `added_host` to archive.
+  void Configure(int version, const char* added_host = "added.example") {
     const auto route = [](const char* host, const char* service,
                           const char* kind) {
       return json{{"host", host},       {"path_prefix", "/x/"},
@@ -404,6 +404,7 @@
         {"version", version},
         {"routes",
          {{"archive", route("archive.example", "archive", "idempotent")},
+          {"added", route(added_host, "archive", "idempotent")},
           {"claims", route("claims.example", "claims", "non_idempotent")}}},
         {"services",
          {{"archive", {{"health_path", "/health"}}},
@@ -743,6 +744,26 @@
                                milliseconds(2000)));
 }
 
+// 404 is final for a caller, though the newer version may have the route.
+TEST_F(SidecarTest, NewerVersionIsElsewhere_UnknownRouteIsNotDenied) {
+  const Settings& archive = this->Start("archive");
+  const Settings& claims = this->StartSilenceable("claims", {archive.address});
+  this->Configure(1);
+  ASSERT_TRUE(this->Eventually([&] {
+    return this->HasVersion(archive, 1) && this->HasVersion(claims, 1);
+  }));
+  EXPECT_EQ(this->Call(claims, "newer.example").status, 404);
+  std::this_thread::sleep_for(seconds(1));  // The node waits at the store.
+  this->store_is_silent = true;
+  this->Configure(2, "newer.example");
+  ASSERT_TRUE(this->Eventually([&] { return this->HasVersion(archive, 2); }));
+  std::this_thread::sleep_for(milliseconds(100));
+  ASSERT_TRUE(this->HasVersion(claims, 1));
+  const HttpResponse refusal = this->Call(claims, "newer.example");
+  EXPECT_EQ(refusal.status, 503);
+  EXPECT_NE(refusal.Header("Retry-After"), "");
+}
+
 TEST_F(SidecarTest, StoppedDuringCall_CallerGetsItsAnswer) {
   this->grace = milliseconds(3000);
   const Settings& archive = this->Start("archive");
