Platform: an odd entry of another writer costs that entry alone

Here: a record of the node list at a node's own address whose backend server had port 99999 threw in the health check, and the process ended at each start. A heartbeat with sequence -1 or 2^64 - 1 made all later ones stale; 2^32 + 4 slots were taken for 4.

--- a/src/sidecar/node_directory.cc
+++ b/src/sidecar/node_directory.cc
@@ -19,6 +19,20 @@
 // Changes of the backend server are collected this long before a write.
 constexpr milliseconds kWriteDelay{100};
 
+// Another writer may have left an entry that no node writes.
+bool IsUsable(const std::string& key, const wire::NodeRecord& record) {
+  constexpr std::int32_t kMaxSlots = 100'000;
+  const auto is_address = [](const std::string& text) {
+    const auto address = ParseAddress(text);
+    return address && address->port() != 0;
+  };
+  return is_address(key) &&
+         (record.address.empty() || is_address(record.address)) &&
+         record.slots >= 0 && record.slots <= kMaxSlots &&
+         record.sequence >= 0 && record.born_ms >= 0 && record.state >= 0 &&
+         record.state <= static_cast<std::int32_t>(EndpointState::kGone);
+}
+
 }  // namespace
 
 NodeDirectory::NodeDirectory(IoLoop& io_loop,
@@ -79,7 +93,7 @@
   Records records;
   std::ranges::for_each(page->records, [&](const KeyedRecord& entry) {
     auto record = Decode<wire::NodeRecord>(entry.value);
-    if (!record || !ParseAddress(entry.key)) {
+    if (!record || !IsUsable(entry.key, *record)) {
       this->events.Write("node record unreadable", {{"key", entry.key}});
       return;
     }
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -22,6 +22,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <set>
 #include <string>
 #include <thread>
@@ -82,6 +83,11 @@
       refusal.headers.push_back(echo);
       return refusal;
     }
+    if (request.target.find("crash") != std::string::npos) {
+      ++this->crashes;
+      this->loop.SpawnHere([this] { this->server.Close(); });
+      return std::nullopt;
+    }
     ++this->began;
     const milliseconds allowed(
         std::stoll(std::string(request.Header("X-Deadline-Ms"))));
@@ -114,6 +120,7 @@
   std::atomic<milliseconds> work{milliseconds(0)};
   std::atomic<std::size_t> answer_bytes{0};  // 0: a short default body.
   std::atomic<int> began{0};                 // Requests that it began to run.
+  std::atomic<int> crashes{0};               // Requests that ended it.
   IoLoop& loop;
   HttpServer server;
 
@@ -330,6 +337,8 @@
       this->raw_backend.Close();
       this->first_backend.server.Close();
       this->second_backend.server.Close();
+      std::ranges::for_each(this->added_backends,
+                            [](auto& each) { each->server.Close(); });
       std::ranges::for_each(this->scripted_backends, &ScriptedBackend::Close);
       this->store.Close();
       this->fakes_loop.Stop();
@@ -441,10 +450,11 @@
   tl::expected<HttpResponse, HttpError> Try(const Settings& entry,
                                             const std::string& host,
                                             const std::string& id,
-                                            const char* deadline_ms = "1500") {
+                                            const char* deadline_ms = "1500",
+                                            const char* target = "/x/1?q=2") {
     HttpRequest request;
     request.method = "POST";
-    request.target = "/x/1?q=2";
+    request.target = target;
     request.body = std::string("odd\0\xff", 5);
     request.headers = {{"Host", host},
                        {"X-Attempt-Id", id},
@@ -453,6 +463,28 @@
     return this->TrySend(entry.front_address, request);
   }
 
+  // Sends a request that ends every backend server that runs it.
+  int SendCrashing(const Settings& entry,
+                   const std::string& host = "archive.example") {
+    return this
+        ->Try(entry, host, "id-" + std::to_string(++this->ids), "1500",
+              "/x/crash")
+        .value_or(MakeResponse(0, "", ""))
+        .status;
+  }
+
+  TestBackend& AddBackend() {
+    const std::string instance =
+        "i-added-" + std::to_string(this->added_backends.size());
+    return *this->added_backends.emplace_back(
+        std::make_unique<TestBackend>(this->fakes_loop, instance));
+  }
+  int Crashes() const {
+    return std::accumulate(
+        this->added_backends.begin(), this->added_backends.end(), 0,
+        [](int sum, const auto& backend) { return sum + backend->crashes; });
+  }
+
   // Makes a call that waits up to 10 s. The future holds its status, or 0 if
   // the connection ended without an answer.
   std::future<int> CallAsync(const Settings& entry,
@@ -573,6 +605,7 @@
   TestBackend second_backend;
   RawBackend raw_backend;
   std::deque<ScriptedBackend> scripted_backends;
+  std::vector<std::unique_ptr<TestBackend>> added_backends;
   std::string store_address;
   StoreConnector connect_store = platform::ConnectStore;
   std::atomic<bool> store_is_silent{false};  // For nodes of StartSilenceable.
@@ -764,6 +797,83 @@
   EXPECT_NE(refusal.Header("Retry-After"), "");
 }
 
+// Entries of other writers in the list of nodes.
+TEST_F(SidecarTest, OddEntriesInTheNodeList_OthersAreUsedAndNothingEnds) {
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  this->SendHeartbeat(archive, this->first_backend);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+  std::this_thread::sleep_for(milliseconds(500));  // The record is written.
+  const auto put = [&](const std::string& key, const std::string& value) {
+    this->OnLoop([&] {
+      const auto client =
+          platform::ConnectStore(this->fakes_loop, this->store_address);
+      EXPECT_TRUE(
+          client->Put(this->platform.NodeStream(), key, value, kTimeout));
+      client->Close();
+      return 0;
+    });
+  };
+  wire::NodeRecord odd;
+  odd.zone = "a";
+  odd.service_name = "archive";
+  odd.instance = "i-odd";
+  odd.state = static_cast<std::int32_t>(EndpointState::kReady);
+  odd.slots = std::numeric_limits<std::int32_t>::max();
+  odd.address = "127.0.0.1:99999";
+  odd.sequence = -1;
+  odd.born_ms = std::numeric_limits<std::int64_t>::min();
+  put("127.0.0.1:1", Encode(odd));
+  put("127.0.0.1:0", Encode(odd));
+  put("127.0.0.1:65536", Encode(odd));
+  put("127.0.0.1:2", std::string(100'000, '['));
+  put("127.0.0.1:3", std::string(100'000, '\x0c'));
+  put("not an address", "");
+  // One of them has the address of a node that is about to start.
+  const Settings& claims = this->Start("claims");
+  put(claims.address.value, Encode(odd));
+  std::this_thread::sleep_for(milliseconds(300));
+  this->Restart(1);
+  EXPECT_TRUE(this->Eventually(
+      [&] { return this->Call(claims, "archive.example").status == 200; }));
+}
+
+// Heartbeats of another writer for the same backend server.
+TEST_F(SidecarTest, OddHeartbeat_LaterHeartbeatsAreAccepted) {
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  const auto put = [&](const std::string& body) {
+    HttpRequest request;
+    request.method = "PUT";
+    request.target = "/instances/" + this->first_backend.instance;
+    request.body = body;
+    return this->Send(archive.admin_address, request).status;
+  };
+  const auto body = [&](const char* sequence, const char* slots,
+                        const std::string& more) {
+    return R"({"service":"archive","address":")" + this->first_backend.address +
+           R"(","state":"ready","sequence":)" + sequence + R"(,"slots":)" +
+           slots + more + "}";
+  };
+  EXPECT_EQ(put(body("-1", "4", "")), 400);
+  EXPECT_EQ(put(body("1e30", "4", "")), 400);
+  EXPECT_EQ(put(body("18446744073709551615", "4", "")), 400);
+  EXPECT_EQ(put(body("1", "4294967300", "")), 400);
+  EXPECT_EQ(put(body("1", "1e400", "")), 400);
+  EXPECT_EQ(put(body("1", "4", R"(,"cold_remaining_ms":9223372036854775807)")),
+            400);
+  EXPECT_EQ(put(body("1", "4", R"(,"born":1.5)")), 400);
+  constexpr std::size_t kDepth = 200'000;
+  const int nested = put(body(
+      "1", "4",
+      R"(,"extra":)" + std::string(kDepth, '[') + std::string(kDepth, ']')));
+  EXPECT_TRUE(nested == 200 || nested == 400 || nested == 413) << nested;
+  this->SendHeartbeat(archive, this->first_backend);
+  EXPECT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+}
+
 TEST_F(SidecarTest, StoppedDuringCall_CallerGetsItsAnswer) {
   this->grace = milliseconds(3000);
   const Settings& archive = this->Start("archive");
