--- a/idl/execution.thrift
+++ b/idl/execution.thrift
@@ -27,6 +27,8 @@
   3: bool cleared
   /** The node beside the back ends that died. */
   4: string node
+  /** How long the sender keeps a quarantine. */
+  5: optional i64 ttl_ms
 }
 
 struct SuspectTell {
@@ -41,11 +43,15 @@
 struct SuspectLeaseReply {
   /** A value of LeaseAnswer. */
   1: i32 answer
+  /** What the node has quarantined, if it was asked. */
+  2: optional SuspectTell quarantined
 }
 
 struct SuspectRequest {
   1: optional SuspectTell tell
   2: optional SuspectLeaseRequest lease
+  /** Asks what the receiver has quarantined. */
+  3: optional bool list_quarantined
 }
 
 // At most once ----------------------------------------------------------------
--- a/idl/membership.thrift
+++ b/idl/membership.thrift
@@ -67,6 +67,8 @@
   10: optional list<i16> buckets
   11: optional i32 bucket_count
   12: optional SubtreeReach reach
+  /** Digest of what the sender has quarantined; unset if nothing. */
+  13: optional i64 quarantine
 }
 
 /** Asks for the members in some buckets and gives the sender's own. */
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -89,6 +89,12 @@
   1: i64 send_id
 }
 
+/** A request that must not run: back ends died running it. */
+struct QuarantineRecord {
+  1: i64 fingerprint
+  2: i64 until_unix_ms
+}
+
 /** What the store's list of nodes says of one: hints for nodes that start. */
 struct NodeRecord {
   1: string zone
@@ -101,6 +107,8 @@
   7: i32 slots
   /** A value of EndpointState. */
   8: i32 state
+  /** Requests under which back ends beside this node died. */
+  9: optional list<QuarantineRecord> quarantined
 }
 
 /** The configuration that a node has, when it is newer than `known_version`. */
--- a/include/tanagerledge/suspects.h
+++ b/include/tanagerledge/suspects.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "tanagerledge/types.h"
@@ -48,6 +49,8 @@
   // The call ran under a lease and the backend server survived.
   bool cleared = false;
   NodeId node;  // The node whose backend server died.
+  // How long the sender keeps a quarantine; 0: as long as a new one.
+  std::chrono::milliseconds ttl{0};
 
   bool operator==(const Suspicion&) const = default;
 };
@@ -64,6 +67,10 @@
   // Maximum number of entries. When the table is full, the entry that expires
   // first is evicted.
   std::size_t max_entries = 4096;
+  // A call that was answered at most twice this long ago is not suspected while
+  // others ran beside it. Repeats of one call run at the same time.
+  std::chrono::seconds harmless_ttl{10};
+  std::size_t max_harmless = 4096;
 };
 
 // The suspects known to one node, and the leases of the fingerprints for which
@@ -82,8 +89,8 @@
                                        const std::vector<Fingerprint>& running,
                                        Instant now);
 
-  // Handles the completion of a suspect under a lease without a death. The
-  // result, if any, must be sent to the other nodes.
+  // Handles the completion of a call without a death. The result, if any, must
+  // be sent to the other nodes: the call was a suspect and is cleared.
   std::optional<Suspicion> OnRanSafely(Fingerprint fingerprint, Instant now);
 
   // Applies a suspicion received from another node. Outdated and repeated ones
@@ -97,6 +104,17 @@
                              std::chrono::microseconds length,
                              Instant now);
 
+  // Ends the lease of a holder whose call did not run.
+  void OnLeaseReturned(Fingerprint fingerprint, const NodeId& holder);
+
+  // The quarantined fingerprints with their remaining time. A node that missed
+  // the suspicions, or started later, learns them from these.
+  std::vector<Suspicion> Quarantined(Instant now) const;
+  // Those under which a backend server of `self` died.
+  std::vector<Suspicion> QuarantinedBy(const NodeId& self, Instant now) const;
+  // The same for equal sets of quarantined fingerprints; 0 if there are none.
+  std::uint64_t QuarantineDigest(Instant now) const;
+
   // Acquire and release the only slot for a suspect on this node's backend
   // server. The slot is released at `until` at the latest.
   bool TryAcquireLocalSlot(Instant now, Instant until);
@@ -129,6 +147,17 @@
     std::optional<Lease> lease;
   };
 
+  bool IsQuarantined(const Entry& entry, Instant now) const {
+    return entry.expires > now &&
+           entry.Deaths() >= this->config.quarantine_deaths;
+  }
+  template <typename Filter>
+  std::vector<Suspicion> ListQuarantined(Instant now, Filter filter) const;
+  bool IsHarmless(Fingerprint fingerprint) const {
+    return this->harmless.contains(fingerprint) ||
+           this->former_harmless.contains(fingerprint);
+  }
+  void RecordHarmless(Fingerprint fingerprint, Instant now);
   void Clear(Fingerprint fingerprint, int deaths);
   Entry& FindOrCreate(Fingerprint fingerprint, Instant now);
   std::chrono::seconds TtlOf(const Entry& entry) const;
@@ -137,6 +166,10 @@
   const SuspectConfig config;
   std::unordered_map<Fingerprint, Entry> entries;
   std::optional<Instant> local_slot_until;
+  // Calls answered lately, in two generations.
+  std::unordered_set<Fingerprint> harmless;
+  std::unordered_set<Fingerprint> former_harmless;
+  Instant harmless_since{};
 };
 
 }  // namespace tanagerledge
--- a/src/adapters/clock.h
+++ b/src/adapters/clock.h
@@ -15,12 +15,16 @@
   return std::chrono::steady_clock::now();
 }
 
+// The wall clock. It may jump, and differs between nodes.
+inline std::int64_t UnixMilliseconds() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
 // The incarnation of a node that starts now: the wall clock in milliseconds, so
 // that it is greater than the one of the node's previous start.
 inline Incarnation NewIncarnation() {
-  const auto since = std::chrono::system_clock::now().time_since_epoch();
-  return Incarnation{static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(since).count())};
+  return Incarnation{static_cast<std::uint64_t>(UnixMilliseconds())};
 }
 
 }  // namespace tanagerledge
--- a/src/execution/suspects.cc
+++ b/src/execution/suspects.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace tanagerledge {
 namespace {
@@ -57,6 +58,15 @@
   return LeaseAnswer::kGranted;
 }
 
+void SuspectTable::OnLeaseReturned(Fingerprint fingerprint,
+                                   const NodeId& holder) {
+  const auto found = this->entries.find(fingerprint);
+  if (found != this->entries.end() && found->second.lease &&
+      found->second.lease->holder == holder) {
+    found->second.lease.reset();
+  }
+}
+
 bool SuspectTable::TryAcquireLocalSlot(Instant now, Instant until) {
   if (this->local_slot_until && *this->local_slot_until > now) {
     return false;
@@ -78,6 +88,12 @@
   std::vector<Fingerprint> distinct = running;
   std::ranges::sort(distinct);
   distinct.erase(std::unique(distinct.begin(), distinct.end()), distinct.end());
+  const auto is_harmless = [this](Fingerprint each) {
+    return this->IsHarmless(each);
+  };
+  if (!std::ranges::all_of(distinct, is_harmless)) {
+    std::erase_if(distinct, is_harmless);
+  }
   std::vector<Suspicion> suspicions;
   for (const Fingerprint fingerprint : distinct) {
     Entry& entry = this->FindOrCreate(fingerprint, now);
@@ -93,6 +109,7 @@
 
 std::optional<Suspicion> SuspectTable::OnRanSafely(Fingerprint fingerprint,
                                                    Instant now) {
+  this->RecordHarmless(fingerprint, now);
   const auto found = this->entries.find(fingerprint);
   if (found == this->entries.end() ||
       found->second.Deaths() >= this->config.quarantine_deaths) {
@@ -115,7 +132,58 @@
     int& known = entry.DeathsOf(suspicion.node);
     known = std::max(known, deaths);
   }
-  entry.expires = std::max(entry.expires, now + this->TtlOf(entry));
+  const std::chrono::milliseconds ttl = this->TtlOf(entry);
+  entry.expires = std::max(
+      entry.expires,
+      now + (suspicion.ttl.count() > 0 ? std::min(suspicion.ttl, ttl) : ttl));
+}
+
+// Reconciliation --------------------------------------------------------------
+
+template <typename Filter>
+std::vector<Suspicion> SuspectTable::ListQuarantined(Instant now,
+                                                     Filter filter) const {
+  std::vector<Suspicion> listed;
+  for (const auto& [fingerprint, entry] : this->entries) {
+    if (this->IsQuarantined(entry, now) && filter(entry)) {
+      listed.push_back(
+          {fingerprint, this->config.quarantine_deaths, false,
+           entry.deaths_at.front().node,
+           std::chrono::ceil<std::chrono::milliseconds>(entry.expires - now)});
+    }
+  }
+  return listed;
+}
+
+std::vector<Suspicion> SuspectTable::Quarantined(Instant now) const {
+  return this->ListQuarantined(now, [](const Entry&) { return true; });
+}
+
+std::vector<Suspicion> SuspectTable::QuarantinedBy(const NodeId& self,
+                                                   Instant now) const {
+  return this->ListQuarantined(now, [&self](const Entry& entry) {
+    return std::ranges::find(entry.deaths_at, self, &DeathsAt::node) !=
+           entry.deaths_at.end();
+  });
+}
+
+std::uint64_t SuspectTable::QuarantineDigest(Instant now) const {
+  std::uint64_t digest = 0;
+  for (const auto& [fingerprint, entry] : this->entries) {
+    if (this->IsQuarantined(entry, now)) {
+      digest ^= XXH3_64bits(&fingerprint.value, sizeof(fingerprint.value));
+    }
+  }
+  return digest;
+}
+
+void SuspectTable::RecordHarmless(Fingerprint fingerprint, Instant now) {
+  if (now - this->harmless_since >= this->config.harmless_ttl ||
+      this->harmless.size() >= this->config.max_harmless) {
+    this->former_harmless = std::exchange(this->harmless, {});
+    this->harmless_since = now;
+  }
+  this->harmless.insert(fingerprint);
 }
 
 // The node that cleared the call knew only of `deaths` deaths.
--- a/src/node/executor.cc
+++ b/src/node/executor.cc
@@ -96,24 +96,40 @@
   }
   call.backend = *backend;
   call.suspect = this->suspects.Admit(call.fingerprint, call.deadline);
-  if (call.suspect == SuspectVerdict::kRefuse) {
-    this->decisions.Add(Part::kCall, "refused " + call.request.target,
-                        "quarantined: back ends died running it");
-    return refuse(Reason::kQuarantined, "back ends died running this request");
-  }
-  if (call.suspect == SuspectVerdict::kNoLease) {
-    return refuse(Reason::kOverloaded,
-                  "the request is a suspect and got no lease in time");
+  if (auto refusal = this->RefuseSuspect(call)) {
+    return std::move(*refusal);
   }
   const Reason refusal = this->AwaitSlot(call);
   if (refusal != Reason::kNone) {
+    this->suspects.OnNotRun(call.fingerprint, call.suspect);
     return refuse(refusal, "refused by the back end's node");
   }
-  wire::CallReply reply = this->RunOnce(link, call);
+  call.suspect = this->suspects.Recheck(call.fingerprint, call.suspect);
+  auto suspect_refusal = this->RefuseSuspect(call);
+  wire::CallReply reply =
+      suspect_refusal ? std::move(*suspect_refusal) : this->RunOnce(link, call);
+  if (OutcomeOf(reply) == Outcome::kNotRun) {
+    this->suspects.OnNotRun(call.fingerprint, call.suspect);
+  }
   this->ReleaseSlot(call, call.finish);
   return reply;
 }
 
+// Refuses a call that is quarantined, or a suspect without a lease.
+std::optional<wire::CallReply> Executor::RefuseSuspect(const Call& call) {
+  if (call.suspect == SuspectVerdict::kRefuse) {
+    this->decisions.Add(Part::kCall, "refused " + call.request.target,
+                        "quarantined: back ends died running it");
+    return MakeReply(Outcome::kNotRun, Reason::kQuarantined,
+                     "back ends died running this request");
+  }
+  if (call.suspect == SuspectVerdict::kNoLease) {
+    return MakeReply(Outcome::kNotRun, Reason::kOverloaded,
+                     "the request is a suspect and got no lease in time");
+  }
+  return std::nullopt;
+}
+
 // Claims the key of a non-idempotent call before it is sent.
 wire::CallReply Executor::RunOnce(BackendLink& link, Call& call) {
   const wire::CallRequest& request = call.request;
@@ -182,7 +198,6 @@
   if (!answer) {
     return this->OnNoAnswer(link, call, answer.error());
   }
-  this->suspects.OnCallAnswered(call.fingerprint, call.suspect);
   if (IsNotRun(*answer)) {
     const Reason reason =
         answer->Header(kReasonHeader) == ToText(Reason::kSessionBehind)
@@ -190,6 +205,7 @@
             : Reason::kBackendRefused;
     return MakeReply(Outcome::kNotRun, reason, "the back end did not run it");
   }
+  this->suspects.OnCallAnswered(call.fingerprint, call.suspect);
   wire::CallReply reply = MakeReply(Outcome::kOk, Reason::kNone, "");
   reply.status = answer->status;
   reply.body = answer->body;
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -77,6 +77,7 @@
   };
 
   wire::CallReply Run(BackendLink& link, Call& call);
+  std::optional<wire::CallReply> RefuseSuspect(const Call& call);
   wire::CallReply RunOnce(BackendLink& link, Call& call);
   wire::CallReply SendToBackend(BackendLink& link, Call& call, Instant run_by);
   wire::CallReply OnNoAnswer(BackendLink& link,
--- a/src/node/membership_host.cc
+++ b/src/node/membership_host.cc
@@ -104,7 +104,10 @@
   }
 }
 
-void MembershipHost::SendNow(const SendDatagram& action) {
+void MembershipHost::SendNow(SendDatagram& action) {
+  if (const std::int64_t digest = this->own_digest(); digest != 0) {
+    action.message.__set_quarantine(digest);
+  }
   const std::string bytes = Encode(action.message);
   this->CountSent(action.purpose, bytes.size());
   this->datagrams.Send(action.to, bytes);
@@ -168,6 +171,9 @@
   }
   this->CountReceived(PurposeOf(message->kind), bytes.size());
   this->Perform(this->machine.OnDatagram(from, *message, Now()));
+  if (message->__isset.quarantine && this->machine.Find(from, Now())) {
+    this->on_digest(from, message->quarantine);
+  }
 }
 
 std::string MembershipHost::OnPeerRequest(const NodeId& from,
--- a/src/node/membership_host.h
+++ b/src/node/membership_host.h
@@ -72,6 +72,14 @@
   void Drain();
   void Leave();
   void SetInForce(ReleaseNumber release);
+  // Sets what probes carry of this node's quarantines, and who learns the
+  // digest of another node. A digest of 0 is not sent.
+  void SetQuarantineDigest(
+      std::function<std::int64_t()> own,
+      std::function<void(const NodeId& from, std::int64_t digest)> received) {
+    this->own_digest = std::move(own);
+    this->on_digest = std::move(received);
+  }
   // Adds seed nodes that were learned after the start.
   void AddSeeds(const std::vector<NodeId>& seeds);
 
@@ -91,7 +99,7 @@
  private:
   void RunTicks();
   void Perform(MembershipActions actions);
-  void SendNow(const SendDatagram& action);
+  void SendNow(SendDatagram& action);
   void StartSync(SendSync action);
   void OnDatagram(const NodeId& from, std::string_view bytes);
   void ReportChange(Instant now);
@@ -110,6 +118,9 @@
   std::chrono::milliseconds tick;
   Membership machine;
   ChangeHandler on_change;
+  std::function<std::int64_t()> own_digest = [] { return 0; };
+  std::function<void(const NodeId&, std::int64_t)> on_digest =
+      [](const NodeId&, std::int64_t) {};
   MembershipCounters traffic_counters;
   Instant last_report{};
   bool stopped = false;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -96,6 +96,11 @@
   this->membership = std::make_unique<MembershipHost>(
       this->control, this->control_peers, this->datagrams, member_config,
       [this](const std::vector<Member>& all) { this->OnMembers(all); });
+  this->membership->SetQuarantineDigest(
+      [this] { return this->suspects.QuarantineDigest(); },
+      [this](const NodeId& from, std::int64_t digest) {
+        this->suspects.OnPeerDigest(from, digest);
+      });
   ReleaseHostConfig release_config;
   release_config.distribution.node = this->settings.address;
   release_config.distribution.zone = this->settings.zone;
--- a/src/node/suspect_host.cc
+++ b/src/node/suspect_host.cc
@@ -21,6 +21,9 @@
 constexpr milliseconds kBroadcastTimeout{250};
 constexpr milliseconds kLeaseTimeout{50};
 constexpr milliseconds kLeaseRetryInterval{5};
+// How long a call that holds a slot waits for a lease.
+constexpr milliseconds kRecheckTimeout{20};
+constexpr milliseconds kListTimeout{1000};
 constexpr std::chrono::seconds kExpiryInterval{1};
 constexpr std::chrono::seconds kMaxLease{60};
 constexpr std::size_t kMaxSuspicionsPerMessage = 1024;
@@ -40,6 +43,9 @@
   news.deaths = suspicion.deaths;
   news.cleared = suspicion.cleared;
   news.node = suspicion.node.value;
+  if (suspicion.ttl.count() > 0) {
+    news.__set_ttl_ms(suspicion.ttl.count());
+  }
   return news;
 }
 
@@ -47,7 +53,18 @@
   return {{static_cast<std::uint64_t>(news.fingerprint)},
           news.deaths,
           news.cleared,
-          {news.node}};
+          {news.node},
+          milliseconds(std::max<std::int64_t>(0, news.ttl_ms))};
+}
+
+wire::SuspectTell ToTell(const std::vector<Suspicion>& suspicions) {
+  wire::SuspectTell tell;
+  const std::size_t count =
+      std::min(suspicions.size(), kMaxSuspicionsPerMessage);
+  std::transform(suspicions.begin(),
+                 suspicions.begin() + static_cast<std::ptrdiff_t>(count),
+                 std::back_inserter(tell.news), ToWire);
+  return tell;
 }
 
 }  // namespace
@@ -97,8 +114,16 @@
         static_cast<std::uint64_t>(message->lease.fingerprint)};
     const auto length = std::clamp<microseconds>(
         microseconds(message->lease.lease_us), microseconds(0), kMaxLease);
-    reply.answer = static_cast<std::int32_t>(
-        this->table.OnLeaseRequest(fingerprint, from, length, Now()));
+    if (length.count() == 0) {
+      this->table.OnLeaseReturned(fingerprint, from);
+      reply.answer = static_cast<std::int32_t>(LeaseAnswer::kBusy);
+    } else {
+      reply.answer = static_cast<std::int32_t>(
+          this->table.OnLeaseRequest(fingerprint, from, length, Now()));
+    }
+  }
+  if (message->list_quarantined) {
+    reply.__set_quarantined(ToTell(this->table.Quarantined(Now())));
   }
   this->UpdateSuspectCount();
   return Encode(reply);
@@ -106,6 +131,51 @@
 
 // Request path --------------------------------------------------------------
 
+std::int64_t SuspectHost::QuarantineDigest() {
+  if (this->suspect_count.load(std::memory_order_acquire) == 0) {
+    return 0;
+  }
+  const std::scoped_lock lock(this->mutex);
+  return static_cast<std::int64_t>(this->table.QuarantineDigest(Now()));
+}
+
+void SuspectHost::OnPeerDigest(const NodeId& peer, std::int64_t digest) {
+  if (digest == 0 || digest == this->QuarantineDigest() ||
+      std::exchange(this->asking_for_quarantines, true)) {
+    return;
+  }
+  this->control.Spawn([this, peer] {
+    wire::SuspectRequest request;
+    request.__set_list_quarantined(true);
+    const auto bytes = this->peers.Request(peer, Channel::kSuspects,
+                                           Encode(request), kListTimeout);
+    this->asking_for_quarantines = false;
+    const auto reply = bytes
+                           ? Decode<wire::SuspectLeaseReply>(*bytes)
+                           : tl::expected<wire::SuspectLeaseReply, DecodeError>(
+                                 tl::unexpected(DecodeError{}));
+    if (reply && reply->quarantined.news.size() <= kMaxSuspicionsPerMessage) {
+      std::vector<Suspicion> listed;
+      std::ranges::transform(reply->quarantined.news,
+                             std::back_inserter(listed), ToSuspicion);
+      this->OnRecorded(listed);
+    }
+  });
+}
+
+void SuspectHost::OnRecorded(const std::vector<Suspicion>& quarantined) {
+  const std::scoped_lock lock(this->mutex);
+  std::ranges::for_each(quarantined, [this](const Suspicion& suspicion) {
+    this->table.OnSuspicion(suspicion, Now());
+  });
+  this->UpdateSuspectCount();
+}
+
+std::vector<Suspicion> SuspectHost::OwnQuarantines() {
+  const std::scoped_lock lock(this->mutex);
+  return this->table.QuarantinedBy(this->self, Now());
+}
+
 SuspectVerdict SuspectHost::Admit(Fingerprint fingerprint, Instant deadline) {
   if (this->suspect_count.load(std::memory_order_acquire) == 0) {
     return SuspectVerdict::kRun;
@@ -125,15 +195,32 @@
   return verdict.value_or(SuspectVerdict::kNoLease);
 }
 
-void SuspectHost::OnCallAnswered(Fingerprint fingerprint,
-                                 SuspectVerdict verdict) {
+SuspectVerdict SuspectHost::Recheck(Fingerprint fingerprint,
+                                    SuspectVerdict verdict) {
+  return verdict == SuspectVerdict::kRun
+             ? this->Admit(fingerprint, Now() + kRecheckTimeout)
+             : verdict;
+}
+
+void SuspectHost::OnNotRun(Fingerprint fingerprint, SuspectVerdict verdict) {
   if (verdict != SuspectVerdict::kRunLeased) {
     return;
   }
-  std::optional<Suspicion> suspicion;
   {
     const std::scoped_lock lock(this->mutex);
     this->table.ReleaseLocalSlot();
+  }
+  this->control.Spawn([this, fingerprint] { this->ReturnLease(fingerprint); });
+}
+
+void SuspectHost::OnCallAnswered(Fingerprint fingerprint,
+                                 SuspectVerdict verdict) {
+  std::optional<Suspicion> suspicion;
+  {
+    const std::scoped_lock lock(this->mutex);
+    if (verdict == SuspectVerdict::kRunLeased) {
+      this->table.ReleaseLocalSlot();
+    }
     suspicion = this->table.OnRanSafely(fingerprint, Now());
     this->UpdateSuspectCount();
   }
@@ -207,11 +294,31 @@
   return false;
 }
 
-LeaseAnswer SuspectHost::RequestLease(Fingerprint fingerprint,
-                                      Instant deadline) {
+NodeId SuspectHost::HomeOf(Fingerprint fingerprint) const {
   std::vector<NodeId> nodes = this->service_peers;
   nodes.push_back(this->self);
-  const NodeId home = BestNodesFor(fingerprint.value, nodes, 1).front();
+  return BestNodesFor(fingerprint.value, nodes, 1).front();
+}
+
+// A lease of no length returns the one that this node holds.
+void SuspectHost::ReturnLease(Fingerprint fingerprint) {
+  const NodeId home = this->HomeOf(fingerprint);
+  if (home == this->self) {
+    const std::scoped_lock lock(this->mutex);
+    this->table.OnLeaseReturned(fingerprint, home);
+    return;
+  }
+  wire::SuspectRequest request;
+  wire::SuspectLeaseRequest lease;
+  lease.fingerprint = static_cast<std::int64_t>(fingerprint.value);
+  request.__set_lease(lease);
+  (void)this->peers.Request(home, Channel::kSuspects, Encode(request),
+                            kLeaseTimeout);
+}
+
+LeaseAnswer SuspectHost::RequestLease(Fingerprint fingerprint,
+                                      Instant deadline) {
+  const NodeId home = this->HomeOf(fingerprint);
   if (home == this->self) {
     const std::scoped_lock lock(this->mutex);
     return this->table.OnLeaseRequest(fingerprint, home, TimeLeft(deadline),
@@ -220,7 +327,8 @@
   wire::SuspectRequest request;
   wire::SuspectLeaseRequest lease;
   lease.fingerprint = static_cast<std::int64_t>(fingerprint.value);
-  lease.lease_us = TimeLeft(deadline).count();
+  // A lease of no length would be a return.
+  lease.lease_us = std::max<std::int64_t>(1, TimeLeft(deadline).count());
   request.__set_lease(lease);
   const auto bytes = this->peers.Request(home, Channel::kSuspects,
                                          Encode(request), kLeaseTimeout);
@@ -238,13 +346,8 @@
 // Sends the suspicions to all peers in parallel and waits for their replies,
 // each for at most kBroadcastRequestTimeout.
 void SuspectHost::Broadcast(std::vector<Suspicion> suspicions) {
-  if (suspicions.size() > kMaxSuspicionsPerMessage) {
-    suspicions.resize(kMaxSuspicionsPerMessage);
-  }
   wire::SuspectRequest request;
-  wire::SuspectTell tell;
-  std::ranges::transform(suspicions, std::back_inserter(tell.news), ToWire);
-  request.__set_tell(tell);
+  request.__set_tell(ToTell(suspicions));
   const std::string bytes = Encode(request);
   std::vector<boost::fibers::fiber> pending;
   for (const NodeId& node : this->service_peers) {
--- a/src/node/suspect_host.h
+++ b/src/node/suspect_host.h
@@ -7,13 +7,20 @@
 //   SuspectVerdict verdict = suspects.Admit(fingerprint, deadline);
 //   if (verdict == SuspectVerdict::kRefuse)  { /* not-run, kQuarantined */ }
 //   if (verdict == SuspectVerdict::kNoLease) { /* not-run, kOverloaded  */ }
+//   ... wait for a slot ...
+//   verdict = suspects.Recheck(fingerprint, verdict);  // As above.
 //   ... send ...
-//   suspects.OnCallAnswered(fingerprint, verdict);
+//   suspects.OnCallAnswered(fingerprint, verdict);  // It ran, and its backend
+//                                                   // server lives, or
+//   suspects.OnNotRun(fingerprint, verdict);
 //
 // When the backend server dies, call ReportBackendDeath with the calls that ran
 // on it, and only then answer their callers. It returns when the peers have
 // replied or a timeout has expired, so that a caller that retries at once
-// reaches nodes that already know the suspects.
+// reaches nodes that already know the suspects. A node that missed a
+// quarantine, since it was cut off or started later, finds that the digest in a
+// probe of membership differs from its own and asks the sender for its
+// quarantines.
 
 #ifndef TANAGERLEDGE_SRC_NODE_SUSPECT_HOST_H_
 #define TANAGERLEDGE_SRC_NODE_SUSPECT_HOST_H_
@@ -52,9 +59,10 @@
   // thread.
   void Start();
 
-  // Sets the peers that get broadcasts and grant leases: the live nodes that
-  // serve `service`, the service of this node's own backend server. Only they
-  // can run the same calls. Called on the control thread.
+  // Sets the peers that grant leases and get every broadcast: the live nodes
+  // that serve `service`, the service of this node's own backend server. They
+  // run the same calls. A route may lead to other services as well, whose nodes
+  // learn of quarantines. Called on the control thread.
   void SetMembers(const std::vector<Member>& members,
                   const ServiceName& service);
   std::string OnPeerRequest(const NodeId& from, std::string_view request);
@@ -67,19 +75,37 @@
   // fiber.
   void CancelWaits() { this->waits_canceled = true; }
 
-  // Reports that the backend server answered a call that Admit let run. Clears
-  // the suspect if the verdict was kRunLeased. Called from any fiber.
+  // The verdict of Admit may be obsolete when the call gets its slot. Returns
+  // the current one; waits only briefly for a lease. Called from any fiber.
+  SuspectVerdict Recheck(Fingerprint fingerprint, SuspectVerdict verdict);
+
+  // Reports that the backend server ran and answered a call, which clears it.
+  // Called from any fiber.
   void OnCallAnswered(Fingerprint fingerprint, SuspectVerdict verdict);
+  // Reports that a call did not run after all: gives its lease back. Called
+  // from any fiber.
+  void OnNotRun(Fingerprint fingerprint, SuspectVerdict verdict);
 
   // Reports that this node's backend server died while it ran these calls, and
   // broadcasts them as suspects. Called from any fiber.
   void ReportBackendDeath(const std::vector<Fingerprint>& running);
 
+  // Reconciliation. Called on the control thread.
+  std::int64_t QuarantineDigest();
+  // Another node has the digest in a probe.
+  void OnPeerDigest(const NodeId& peer, std::int64_t digest);
+  // Quarantines that are recorded elsewhere, and those to record: a backend
+  // server beside this node died under them.
+  void OnRecorded(const std::vector<Suspicion>& quarantined);
+  std::vector<Suspicion> OwnQuarantines();
+
  private:
   SuspectState StateOf(Fingerprint fingerprint);
   SuspectVerdict AwaitLease(Fingerprint fingerprint, Instant deadline);
   bool TryAcquireLease(Fingerprint fingerprint, Instant deadline);
   LeaseAnswer RequestLease(Fingerprint fingerprint, Instant deadline);
+  NodeId HomeOf(Fingerprint fingerprint) const;
+  void ReturnLease(Fingerprint fingerprint);
   void Broadcast(std::vector<Suspicion> suspicions);
   void UpdateSuspectCount();
 
@@ -88,6 +114,7 @@
   const NodeId self;
   // The nodes that serve the same service, without this node.
   std::vector<NodeId> service_peers;
+  bool asking_for_quarantines = false;
   std::mutex mutex;  // Guards `table`. Never held while a fiber waits.
   SuspectTable table;
   std::atomic<std::size_t> suspect_count{0};  // Entries of `table`.
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -28,6 +28,10 @@
 constexpr milliseconds kServeAfterStop{1000};
 // Minimum time between two checks whether the backend server still listens.
 constexpr milliseconds kDeathCheckInterval{200};
+// How long calls whose connection was lost are kept: the death of the backend
+// server may be detected this long after it.
+constexpr milliseconds kLostCallRetention{1000};
+constexpr int kDeathChecks = 2;
 // The backend server queues a health check for a slot like any request. The
 // next heartbeat, 1.5 s later, starts a new one.
 constexpr milliseconds kHealthCheckTimeout{1000};
@@ -199,40 +203,63 @@
     return NotRun(Reason::kNoEndpoint,
                   "no backend server of this service runs here");
   }
-  const SuspectVerdict verdict =
+  SuspectVerdict verdict =
       this->suspects.Admit(call->fingerprint, call->deadline);
-  if (verdict == SuspectVerdict::kRefuse ||
-      verdict == SuspectVerdict::kNoLease) {
-    this->events.Write("quarantined",
-                       {{"id", request.attempt_id}, {"route", request.route}});
-    return NotRun(Reason::kQuarantined,
-                  "backend servers died running this request");
+  wire::CallReply reply = this->RunAdmitted(*call, verdict);
+  if (OutcomeOf(reply) == Outcome::kOk) {
+    this->suspects.OnCallAnswered(call->fingerprint, verdict);
+  } else if (OutcomeOf(reply) == Outcome::kNotRun) {
+    this->suspects.OnNotRun(call->fingerprint, verdict);
+  }
+  return reply;
+}
+
+wire::CallReply BackendGateway::RunAdmitted(Call& call,
+                                            SuspectVerdict& verdict) {
+  const wire::CallRequest& request = *call.request;
+  const auto suspect_refusal = [&]() -> std::optional<wire::CallReply> {
+    if (verdict == SuspectVerdict::kRefuse) {
+      this->events.Write("quarantined", {{"id", request.attempt_id},
+                                         {"route", request.route}});
+      return NotRun(Reason::kQuarantined,
+                    "backend servers died running this request");
+    }
+    if (verdict == SuspectVerdict::kNoLease) {
+      this->events.Write("suspect without lease", {{"id", request.attempt_id},
+                                                   {"route", request.route}});
+      return NotRun(Reason::kQuarantined,
+                    "a backend server died running this request");
+    }
+    return std::nullopt;
+  };
+  if (auto refusal = suspect_refusal()) {
+    return std::move(*refusal);
   }
   if (!this->throttle.Admit(request.route)) {
     return NotRun(Reason::kDependencyOverloaded,
                   "nested calls of such requests are rejected",
                   kDependencyRetryDelay);
   }
-  const SlotDecision decision = this->AwaitSlot(*call);
+  const SlotDecision decision = this->AwaitSlot(call);
   if (decision.reason != Reason::kNone) {
     return NotRun(decision.reason, "no slot in time", decision.room_in);
   }
   wire::CallReply reply;
-  if (call->caller_left) {
+  verdict = this->suspects.Recheck(call.fingerprint, verdict);
+  if (auto refusal = suspect_refusal()) {
+    reply = std::move(*refusal);
+  } else if (call.caller_left) {
     reply = NotRun(Reason::kDeadline, "the caller disconnected");
   } else if (!this->IsServing({request.service_name}, Now())) {
     reply = NotRun(Reason::kNoEndpoint, "the backend server left meanwhile");
   } else {
     const Instant sent = Now();
-    reply = this->SendToBackend(*call);
+    reply = this->SendToBackend(call);
     reply.execution_us = duration_cast<microseconds>(Now() - sent).count();
-    this->throttle.OnFinished(request.route, call->nested_call_rejected);
-    if (OutcomeOf(reply) == Outcome::kOk) {
-      this->suspects.OnCallAnswered(call->fingerprint, verdict);
-    }
+    this->throttle.OnFinished(request.route, call.nested_call_rejected);
   }
   this->ApplyActions(
-      this->queue.OnFinished(call->id, FinishKindOf(reply), Now()));
+      this->queue.OnFinished(call.id, FinishKindOf(reply), Now()));
   return reply;
 }
 
@@ -287,6 +314,7 @@
   }
   const Heartbeat& backend = *this->life.known();
   call.instance = backend.instance;
+  call.born_ms = backend.born_ms;
   const HttpRequest out =
       this->platform.ToBackendRequest(request, call.instance, remaining);
   ExchangeOptions exchange;
@@ -379,8 +407,8 @@
 
 wire::CallReply BackendGateway::OnNoAnswer(Call& call, const HttpError& error) {
   const bool by_deadline = Now() >= call.deadline;
-  if (!by_deadline && !call.caller_left && !this->aborting) {
-    this->DetectBackendDeath(call);
+  if (!by_deadline && !this->aborting) {
+    this->OnConnectionLost(call);
   }
   this->events.Write(
       "no answer",
@@ -400,25 +428,73 @@
 
 // Backend server --------------------------------------------------------------
 
-void BackendGateway::DetectBackendDeath(const Call& call) {
-  const Instant now = Now();
-  if (now < this->next_death_check || !this->life.known()) {
+void BackendGateway::OnConnectionLost(const Call& call) {
+  this->lost_calls.push_back(
+      {call.fingerprint, call.instance, call.born_ms, Now()});
+  this->DetectBackendDeath();
+}
+
+// Finds out whether the backend server at which calls were lost has died: it no
+// longer listens, or another start has taken its place. A dying process may
+// close its connections before its listener, so a later tick checks again.
+void BackendGateway::DetectBackendDeath() {
+  if (this->checking_death) {
     return;
   }
-  this->next_death_check = now + kDeathCheckInterval;
-  const BackendId address{this->life.known()->address};
-  if (this->link.IsListening(address)) {
-    return;
+  this->checking_death = true;
+  const Instant now = Now();
+  std::erase_if(this->lost_calls, [now](const LostCall& lost) {
+    return lost.checks >= kDeathChecks ||
+           now - lost.lost_at >= kLostCallRetention;
+  });
+  const auto replaced = std::ranges::find_if(
+      this->lost_calls,
+      [this](const LostCall& lost) { return this->IsReplaced(lost); });
+  if (replaced != this->lost_calls.end()) {
+    this->ReportDeathOf(*replaced);
+  } else if (!this->lost_calls.empty() && now >= this->next_death_check) {
+    const LostCall newest = this->lost_calls.back();
+    this->next_death_check = now + kDeathCheckInterval;
+    if (!this->HasListeningBackend()) {
+      this->life.OnDied(newest.instance);
+      this->ReportDeathOf(newest);
+    }
+    std::ranges::for_each(this->lost_calls, [now](LostCall& lost) {
+      lost.checks += lost.lost_at <= now ? 1 : 0;
+    });
   }
-  this->life.OnDied(call.instance);
+  this->checking_death = false;
+}
+
+bool BackendGateway::HasListeningBackend() {
+  return this->life.known() &&
+         this->link.IsListening(BackendId{this->life.known()->address});
+}
+
+bool BackendGateway::IsReplaced(const LostCall& lost) const {
+  return this->life.known() && (this->life.known()->instance != lost.instance ||
+                                this->life.known()->born_ms != lost.born_ms);
+}
+
+// Reports all calls that ran at the same start of the backend server as `lost`.
+void BackendGateway::ReportDeathOf(LostCall lost) {
   std::vector<Fingerprint> running;
   std::ranges::for_each(this->calls, [&](const auto& entry) {
-    if (entry.second->instance == call.instance) {
+    if (entry.second->instance == lost.instance &&
+        entry.second->born_ms == lost.born_ms) {
       running.push_back(entry.second->fingerprint);
     }
   });
+  std::erase_if(this->lost_calls, [&](const LostCall& each) {
+    const bool ran_there =
+        each.instance == lost.instance && each.born_ms == lost.born_ms;
+    if (ran_there) {
+      running.push_back(each.fingerprint);
+    }
+    return ran_there;
+  });
   this->events.Write("back end died",
-                     {{"instance", call.instance},
+                     {{"instance", lost.instance},
                       {"running", static_cast<std::int64_t>(running.size())}});
   this->suspects.ReportBackendDeath(running);
 }
@@ -488,6 +564,9 @@
 
 void BackendGateway::OnTick() {
   const Instant now = Now();
+  if (!this->lost_calls.empty()) {
+    this->loop.SpawnHere([this] { this->DetectBackendDeath(); });
+  }
   this->ApplyActions(this->queue.OnTick(now));
   this->ledger.Expire(now);
   const bool open =
--- a/src/sidecar/backend_gateway.h
+++ b/src/sidecar/backend_gateway.h
@@ -121,21 +121,37 @@
     FiberPromise<SlotDecision> slot;
     // Set while the backend server runs the call.
     std::function<void()> abort_exchange;
-    std::string instance;  // The instance that the call was sent to.
+    // The start of the backend server that the call was sent to.
+    std::string instance;
+    std::int64_t born_ms = 0;
   };
   using CallPtr = std::shared_ptr<Call>;
+  // A call whose connection to the backend server was lost. It may be the cause
+  // if the backend server turns out to be dead.
+  struct LostCall {
+    Fingerprint fingerprint;
+    std::string instance;
+    std::int64_t born_ms = 0;
+    Instant lost_at{};
+    int checks = 0;  // Checks that found a listening backend server since.
+  };
   // Identifies a send: the node that it comes from and that node's send id.
   using SendKey = std::string;
   using ReplyWaiter = std::shared_ptr<FiberPromise<CachedReply>>;
 
   static SendKey SendKeyOf(const NodeId& from, std::int64_t send_id);
   wire::CallReply AdmitAndRun(const CallPtr& call);
+  wire::CallReply RunAdmitted(Call& call, SuspectVerdict& verdict);
   wire::CallReply SendToBackend(Call& call);
   std::optional<wire::CallReply> RecheckBeforeSend(const Call& call,
                                                    Instant checked_at);
   wire::CallReply OnNoAnswer(Call& call, const HttpError& error);
   wire::CallReply ToCallReply(HttpResponse&& answer) const;
-  void DetectBackendDeath(const Call& call);
+  void OnConnectionLost(const Call& call);
+  void DetectBackendDeath();
+  bool HasListeningBackend();
+  bool IsReplaced(const LostCall& lost) const;
+  void ReportDeathOf(LostCall lost);
   bool IsServing(const ServiceName& service, Instant now) const;
   SlotDecision AwaitSlot(Call& call);
   void ApplyActions(const SlotActions& actions);
@@ -157,6 +173,8 @@
   std::unordered_map<SendKey, std::vector<ReplyWaiter>> reply_waiters;
   std::optional<StopPlan> stop;
   bool aborting = false;
+  std::vector<LostCall> lost_calls;
+  bool checking_death = false;
   Instant next_death_check{};
 };
 
--- a/src/sidecar/node_directory.cc
+++ b/src/sidecar/node_directory.cc
@@ -102,9 +102,13 @@
   // Keeps the record of the previous start until this one knows its backend
   // server.
   const auto previous = records.find(this->self);
-  if (!this->own_record_set && previous != records.end()) {
-    this->own_record = previous->second;
+  if (previous != records.end() && !this->list_read) {
+    if (!this->own_record_set) {
+      this->own_record = previous->second;
+    }
+    this->own_record.__set_quarantined(previous->second.quarantined);
   }
+  this->list_read = true;
   this->sink(records);
   return true;
 }
@@ -119,6 +123,26 @@
   return put.has_value();
 }
 
+void NodeDirectory::SetQuarantined(
+    std::vector<wire::QuarantineRecord> quarantined) {
+  constexpr std::size_t kMaxRecorded = 32;
+  std::ranges::sort(quarantined, std::greater(),
+                    &wire::QuarantineRecord::until_unix_ms);
+  if (quarantined.size() > kMaxRecorded) {
+    quarantined.resize(kMaxRecorded);
+  }
+  std::ranges::sort(quarantined, {}, &wire::QuarantineRecord::fingerprint);
+  auto& recorded = this->own_record.quarantined;
+  if (std::ranges::equal(recorded, quarantined, {},
+                         &wire::QuarantineRecord::fingerprint,
+                         &wire::QuarantineRecord::fingerprint)) {
+    return;
+  }
+  recorded = std::move(quarantined);
+  this->own_record.__isset.quarantined = !recorded.empty();
+  this->own_record_changed = this->list_read;
+}
+
 void NodeDirectory::SetBackend(const Heartbeat& backend, EndpointState state) {
   this->own_record.service_name = backend.service.value;
   this->own_record.instance = backend.instance;
--- a/src/sidecar/node_directory.h
+++ b/src/sidecar/node_directory.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "src/adapters/event_log.h"
 #include "src/adapters/fiber_io.h"
@@ -49,6 +50,9 @@
   // Sets the state of the local backend server; it is written after a short
   // delay.
   void SetBackend(const Heartbeat& backend, EndpointState state);
+  // Sets the calls under which backend servers beside this node died. Written
+  // when the set of calls changes.
+  void SetQuarantined(std::vector<wire::QuarantineRecord> quarantined);
 
  private:
   void Run();
@@ -62,6 +66,7 @@
   const NodeId self;
   const Sink sink;
   wire::NodeRecord own_record;
+  bool list_read = false;           // At least once.
   bool own_record_set = false;      // SetBackend was called.
   bool own_record_changed = false;  // Since the last write.
 };
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -21,6 +21,8 @@
 constexpr milliseconds kTickInterval{20};
 // Ticks between attempts to reopen lost connections.
 constexpr int kTicksPerReconnect = 5;
+// Ticks between updates of the quarantines that this node records in the store.
+constexpr int kTicksPerQuarantineRecord = 5;
 // Ticks between log lines with the bytes sent so far: 10 s.
 constexpr int kTicksPerTrafficLog = 500;
 // How long hints from the node list are used. Gossip has filled the member
@@ -35,6 +37,8 @@
 // How long to wait until the other nodes have read everything and closed their
 // connections.
 constexpr milliseconds kPeerCloseTimeout{100};
+// The clocks of the nodes may differ by some seconds.
+constexpr std::int64_t kMaxClockDifferenceMs = 60'000;
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
@@ -111,6 +115,44 @@
   return heartbeat;
 }
 
+// The deaths counted for a recorded quarantine: as many as quarantine a call.
+constexpr int kRecordedDeaths = SuspectConfig().quarantine_deaths;
+
+std::vector<Suspicion> QuarantinesOf(const NodeId& node,
+                                     const wire::NodeRecord& record) {
+  const std::int64_t unix_ms = UnixMilliseconds();
+  std::vector<Suspicion> quarantines;
+  std::ranges::for_each(
+      record.quarantined, [&](const wire::QuarantineRecord& each) {
+        const std::int64_t left = each.until_unix_ms - unix_ms;
+        const std::int64_t most =
+            milliseconds(SuspectConfig().quarantine_ttl).count();
+        if (left > 0 && left <= most + kMaxClockDifferenceMs) {
+          quarantines.push_back({{static_cast<std::uint64_t>(each.fingerprint)},
+                                 kRecordedDeaths,
+                                 false,
+                                 node,
+                                 milliseconds(left)});
+        }
+      });
+  return quarantines;
+}
+
+std::vector<wire::QuarantineRecord> ToRecords(
+    const std::vector<Suspicion>& quarantines) {
+  const std::int64_t unix_ms = UnixMilliseconds();
+  std::vector<wire::QuarantineRecord> records;
+  std::ranges::transform(
+      quarantines, std::back_inserter(records),
+      [unix_ms](const Suspicion& each) {
+        wire::QuarantineRecord record;
+        record.fingerprint = static_cast<std::int64_t>(each.fingerprint.value);
+        record.until_unix_ms = unix_ms + each.ttl.count();
+        return record;
+      });
+  return records;
+}
+
 MeshEntryConfig EntryConfigOf(const Settings& settings,
                               Incarnation incarnation) {
   return {settings.address, settings.zone, incarnation, settings.service};
@@ -195,6 +237,11 @@
       [this](const HttpRequest& request, const UnansweredRequest& what) {
         this->LogUnanswered(request, what);
       });
+  this->membership.SetQuarantineDigest(
+      [this] { return this->suspects.QuarantineDigest(); },
+      [this](const NodeId& from, std::int64_t digest) {
+        this->suspects.OnPeerDigest(from, digest);
+      });
   this->entry.SetBehindCheck([this] { return this->configs.IsBehind(); });
   this->RegisterMetrics();
 }
@@ -306,6 +353,10 @@
     if (ticks % kTicksPerTrafficLog == 0) {
       this->LogTraffic();
     }
+    if (ticks % kTicksPerQuarantineRecord == 0) {
+      this->directory.SetQuarantined(
+          ToRecords(this->suspects.OwnQuarantines()));
+    }
     this->gateway.OnTick();
     this->configs.OnTick();
     this->AnnounceBackend();
@@ -355,6 +406,7 @@
   this->hints_until = Now() + kHintLifetime;
   std::ranges::for_each(records, [&](const auto& listed) {
     const auto& [node, record] = listed;
+    this->suspects.OnRecorded(QuarantinesOf(node, record));
     const bool ready =
         record.state == static_cast<std::int32_t>(EndpointState::kReady);
     if (node == this->settings.address) {
@@ -411,7 +463,8 @@
   this->entry.SetLiveNodes(live);
   this->configs.SetMembers(all, this->settings.address, this->settings.zone);
   const auto& backend = this->gateway.backend();
-  this->suspects.SetMembers(all, backend ? backend->service : ServiceName{});
+  this->suspects.SetMembers(
+      all, backend ? backend->service : this->settings.service);
   this->UpdateEndpoints();
   this->MaintainConnections();
   this->events.Write("members changed",
--- a/tests/execution/suspects_test.cc
+++ b/tests/execution/suspects_test.cc
@@ -8,7 +8,10 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <array>
+#include <memory>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace tanagerledge {
@@ -208,5 +211,169 @@
   }
 }
 
+// Reconciliation ------------------------------------------------------------
+
+// Nodes of two services between which a split route divides one crashing
+// request. Broadcasts reach the own service and may be lost; nodes restart
+// without their tables; the store has the quarantines of each node, unless it
+// is down when a node starts; probes carry digests.
+class ReconcilingFleet {
+ public:
+  explicit ReconcilingFleet(std::uint64_t seed) : random(seed) {}
+
+  // Runs of the request later than 3 s after it ended the third backend server,
+  // at nodes that have run for 3 s.
+  int LateRuns() {
+    for (; this->now < Instant{} + seconds(60);
+         this->now += milliseconds(100)) {
+      this->MaybeRestart();
+      this->Send(this->RandomNode());
+      this->ProbeEach();
+    }
+    return this->late_runs;
+  }
+
+ private:
+  static constexpr std::size_t kNodes = 12;
+  static constexpr int kCrashing = 1000;
+
+  struct Node {
+    std::unique_ptr<SuspectTable> table = std::make_unique<SuspectTable>();
+    Instant started{};
+  };
+
+  bool Chance(double probability) {
+    return std::bernoulli_distribution(probability)(this->random);
+  }
+  std::size_t RandomNode() {
+    return std::uniform_int_distribution<std::size_t>(0,
+                                                      kNodes - 1)(this->random);
+  }
+  static NodeId IdOf(std::size_t node) { return {std::to_string(node)}; }
+
+  void MaybeRestart() {
+    if (!this->Chance(0.1)) {
+      return;
+    }
+    const std::size_t node = this->RandomNode();
+    this->nodes[node].table = std::make_unique<SuspectTable>();
+    this->nodes[node].started = this->now;
+    if (this->Chance(0.5)) {
+      for (const std::vector<Suspicion>& recorded : this->store) {
+        this->Tell(node, recorded);
+      }
+    }
+  }
+
+  void Send(std::size_t node) {
+    const Fingerprint call{kCrashing};
+    SuspectTable& table = *this->nodes[node].table;
+    if (table.GetState(call, this->now) == SuspectState::kQuarantined) {
+      return;
+    }
+    ++this->ended;
+    if (this->ended == 3) {
+      this->third_end = this->now;
+    }
+    const bool settled = this->now - this->nodes[node].started >= seconds(3);
+    if (this->ended > 3 && this->now - this->third_end > seconds(3) &&
+        settled) {
+      ++this->late_runs;
+    }
+    const auto suspicions = table.OnBackendDied(IdOf(node), {call}, this->now);
+    for (std::size_t other = node % 2; other < kNodes; other += 2) {
+      if (other != node && !this->Chance(0.2)) {
+        this->Tell(other, suspicions);
+      }
+    }
+    this->store[node] = table.QuarantinedBy(IdOf(node), this->now);
+  }
+
+  // Each node probes another one twice a second.
+  void ProbeEach() {
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      const std::size_t other = this->RandomNode();
+      if (this->Chance(0.2) && !this->Chance(0.05)) {
+        this->Compare(node, other);
+        this->Compare(other, node);
+      }
+    }
+  }
+
+  void Compare(std::size_t node, std::size_t other) {
+    const SuspectTable& theirs = *this->nodes[other].table;
+    const std::uint64_t digest = theirs.QuarantineDigest(this->now);
+    if (digest != 0 &&
+        digest != this->nodes[node].table->QuarantineDigest(this->now)) {
+      this->Tell(node, theirs.Quarantined(this->now));
+    }
+  }
+
+  void Tell(std::size_t node, const std::vector<Suspicion>& suspicions) {
+    std::ranges::for_each(suspicions, [&](const Suspicion& suspicion) {
+      this->nodes[node].table->OnSuspicion(suspicion, this->now);
+    });
+  }
+
+  std::mt19937_64 random;
+  std::array<Node, kNodes> nodes;
+  std::array<std::vector<Suspicion>, kNodes> store;
+  Instant now{};
+  Instant third_end{};
+  int ended = 0;
+  int late_runs = 0;
+};
+
+class ReconcilingFleetTest : public testing::TestWithParam<std::uint64_t> {};
+
+// The platform allows three.
+TEST_P(ReconcilingFleetTest, NodesRestartAndNewsIsLost_CrashingRequestStops) {
+  EXPECT_LE(ReconcilingFleet(GetParam()).LateRuns(), 3);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         ReconcilingFleetTest,
+                         testing::Range<std::uint64_t>(1, 101));
+
+TEST_F(SuspectsTest, QuarantineIsPassedOn_KeepsItsTime) {
+  this->table.OnSuspicion({this->crashing, 2, false, {"a"}}, this->now);
+  SuspectTable later;
+  this->now += seconds(500);
+  std::ranges::for_each(
+      this->table.Quarantined(this->now),
+      [&](const Suspicion& each) { later.OnSuspicion(each, this->now); });
+  EXPECT_EQ(later.QuarantineDigest(this->now),
+            this->table.QuarantineDigest(this->now));
+  this->now += seconds(101);
+  EXPECT_EQ(later.GetState(this->crashing, this->now), SuspectState::kClear);
+  EXPECT_EQ(later.QuarantineDigest(this->now), 0);
+}
+
+// Repeats of one harmless call are in flight at every death.
+TEST_F(SuspectsTest, CallAnsweredLately_IsNotSuspectedBesideOthers) {
+  this->table.OnRanSafely(this->other, this->now);
+  const auto suspicions = this->table.OnBackendDied(
+      this->self, {this->crashing, this->other}, this->now);
+  ASSERT_EQ(suspicions.size(), 1U);
+  EXPECT_EQ(suspicions.front().fingerprint, this->crashing);
+  EXPECT_EQ(
+      this->table.OnBackendDied(this->self, {this->other}, this->now).size(),
+      1U)
+      << "nothing else can have been the cause";
+}
+
+TEST_F(SuspectsTest, LeaseReturned_NextHolderGetsIt) {
+  this->table.OnBackendDied(this->self, {this->crashing}, this->now);
+  this->table.OnLeaseRequest(this->crashing, {"a"}, seconds(60), this->now);
+  this->table.OnLeaseReturned(this->crashing, {"b"});
+  EXPECT_EQ(
+      this->table.OnLeaseRequest(this->crashing, {"b"}, seconds(1), this->now),
+      LeaseAnswer::kBusy);
+  this->table.OnLeaseReturned(this->crashing, {"a"});
+  EXPECT_EQ(
+      this->table.OnLeaseRequest(this->crashing, {"b"}, seconds(1), this->now),
+      LeaseAnswer::kGranted);
+}
+
 }  // namespace
 }  // namespace tanagerledge
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -797,6 +797,100 @@
   EXPECT_NE(refusal.Header("Retry-After"), "");
 }
 
+// Two ends quarantine a request. A node that starts later must know of it.
+TEST_F(SidecarTest, RequestCrashedTwoBackends_RestartedNodeDoesNotRunIt) {
+  std::vector<const Settings*> archives;
+  for (int i = 0; i < 3; ++i) {
+    std::vector<NodeId> seeds;
+    if (!archives.empty()) {
+      seeds.push_back(archives.front()->address);
+    }
+    archives.push_back(&this->Start("archive", std::move(seeds)));
+  }
+  this->Configure(1);
+  for (const Settings* node : archives) {
+    this->SendHeartbeat(*node, this->AddBackend());
+  }
+  ASSERT_TRUE(this->Eventually([&] {
+    return std::ranges::all_of(archives, [&](const Settings* node) {
+      return this->Call(*node, "archive.example").status == 200;
+    });
+  }));
+  std::this_thread::sleep_for(seconds(1));  // All nodes know all endpoints.
+  for (int i = 0; i < 5; ++i) {
+    this->SendCrashing(*archives[0]);
+  }
+  ASSERT_EQ(this->Crashes(), 2);
+  const auto survivor = std::ranges::find(
+      this->added_backends, 0,
+      [](const auto& backend) { return backend->crashes.load(); });
+  const auto index = static_cast<std::size_t>(
+      std::distance(this->added_backends.begin(), survivor));
+  std::this_thread::sleep_for(milliseconds(500));  // The record is written.
+  this->Restart(index);
+  this->SendHeartbeat(*archives[index], **survivor);
+  ASSERT_TRUE(this->Eventually([&] {
+    return this->Call(*archives[index], "archive.example").status == 200;
+  }));
+  for (int i = 0; i < 3; ++i) {
+    this->SendCrashing(*archives[index]);
+  }
+  EXPECT_EQ(this->Crashes(), 2);
+}
+
+// A route may lead to another service, whose nodes got no broadcast.
+TEST_F(SidecarTest, RequestCrashedTwoBackends_OtherServiceDoesNotRunIt) {
+  const Settings& claims = this->Start("claims");
+  const Settings& archive = this->Start("archive", {claims.address});
+  this->Configure(1);
+  for (int i = 0; i < 2; ++i) {
+    this->SendHeartbeat(claims, this->AddBackend());
+    ASSERT_TRUE(this->Eventually(
+        [&] { return this->Call(claims, "claims.example").status == 200; }));
+    this->SendCrashing(claims, "claims.example");
+  }
+  ASSERT_EQ(this->Crashes(), 2);
+  // The caller's service is a part of the request.
+  this->sidecars[1]->Reload([&] {
+    Settings same_caller = archive;
+    same_caller.service = claims.service;
+    return same_caller;
+  }());
+  this->SendHeartbeat(archive, this->AddBackend());
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+  std::this_thread::sleep_for(seconds(2));
+  EXPECT_EQ(this->SendCrashing(archive), 503);
+  EXPECT_EQ(this->Crashes(), 2);
+}
+
+// All calls of an ended backend server lose their connections at once.
+TEST_F(SidecarTest, CrashBesideOtherCalls_CrashingRequestIsSuspected) {
+  const Settings& claims = this->Start("claims");
+  this->Configure(1);
+  for (int i = 0; i < 2; ++i) {
+    TestBackend& backend = this->AddBackend();
+    this->SendHeartbeat(claims, backend);
+    ASSERT_TRUE(this->Eventually(
+        [&] { return this->Call(claims, "claims.example").status == 200; }));
+    backend.work = seconds(2);
+    const int before = backend.began;
+    std::vector<std::future<int>> beside;
+    for (int call = 0; call < 3; ++call) {
+      beside.push_back(this->CallAsync(
+          claims, "claims.example", "beside-" + std::to_string(i * 10 + call)));
+    }
+    ASSERT_TRUE(this->Eventually([&] { return backend.began == before + 3; }));
+    this->SendCrashing(claims, "claims.example");
+  }
+  TestBackend& third = this->AddBackend();
+  this->SendHeartbeat(claims, third);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(claims, "claims.example").status == 200; }));
+  EXPECT_EQ(this->SendCrashing(claims, "claims.example"), 503);
+  EXPECT_EQ(this->Crashes(), 2);
+}
+
 // Entries of other writers in the list of nodes.
 TEST_F(SidecarTest, OddEntriesInTheNodeList_OthersAreUsedAndNothingEnds) {
   const Settings& archive = this->Start("archive");
