--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -184,6 +184,9 @@
       {"", "{", "[]", R"({"service":"s"})",
        R"({"service":1,"address":"10.0.0.9:1","slots":1,"state":"ready","sequence":1})",
        R"({"service":"s","address":"10.0.0.9:1","slots":1,"state":"odd","sequence":1})",
+       R"({"service":"s","address":"10.0.0.9:0","slots":1,"state":"ready","sequence":1})",
+       R"({"service":"s","address":"10.0.0.9:65536","slots":1,"state":"ready","sequence":1})",
+       R"({"service":"s","address":"10.0.0.9:1","slots":1e30,"state":"ready","sequence":1})",
        R"({"service":"s","address":"nowhere","slots":1,"state":"ready","sequence":1})",
        R"({"service":"s","address":"10.0.0.9:1","slots":-1,"state":"ready","sequence":1})",
        "\xff\xfe\x01"}) {
@@ -234,6 +237,30 @@
   EXPECT_EQ((*mesh)->limits().idle_timeout, milliseconds(15000));
 }
 
+TEST_F(PlatformTest, ConfigurationWithOddNumbers_IsRejectedOrInRange) {
+  const auto read = [](const std::string& timeout, const std::string& limits) {
+    return ReadOperatorConfig(
+        R"({"version":7,"services":{},"limits":)" + limits +
+        R"(,"routes":{"r":{"host":"a","path_prefix":"/x/","service":"s",)"
+        R"("kind":"idempotent","timeout_ms":)" +
+        timeout + "}}}");
+  };
+  for (const char* timeout : {"-1", "1e30", "-1e30", "1e400",
+                              "18446744073709551615", "\"1\"", "[]"}) {
+    EXPECT_FALSE(read(timeout, "{}").has_value()) << timeout;
+    EXPECT_FALSE(
+        read("1", R"({"idle_timeout_ms":)" + std::string(timeout) + "}"))
+        << timeout;
+  }
+  const auto fraction = read("2500.5", "{}");
+  ASSERT_TRUE(fraction.has_value()) << fraction.error();
+  EXPECT_EQ((*fraction)->routes().front().timeout, milliseconds(2500));
+  constexpr std::size_t kDepth = 200'000;
+  const auto nested = read("1", R"({"x":)" + std::string(kDepth, '[') +
+                                    std::string(kDepth, ']') + "}");
+  EXPECT_TRUE(nested.has_value()) << nested.error();
+}
+
 TEST_F(PlatformTest, InvalidConfiguration_IsRejectedWithLocation) {
   const auto broken = ReadOperatorConfig(
       R"({"version":7,"routes":{"r1":{"host":"a"}},"services":{}})");
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -128,6 +128,25 @@
       });
 }
 
+// Another writer may have left an item that no node can read.
+TEST_F(TruncatedStoreResponseTest, OneItemUnreadable_OthersAreReturned) {
+  const std::string body =
+      R"({"items":[{"key":"a","value":"eA==","offset":3},)"
+      R"({"key":"b","value":"?","offset":4},{"key":7,"value":"","offset":5},)"
+      R"({"key":"c","value":"eA==","offset":1e30},[[[]]],)"
+      R"({"key":"d","value":"eXl6","offset":14}],"has_more":false,)"
+      R"("end_offset":15})";
+  this->CheckEachTruncation(
+      body, [&](StoreClient& client, bool whole, std::size_t) {
+        const auto page = client.ReadNewest("s", kTimeout);
+        ASSERT_TRUE(page.has_value() || !whole);
+        if (page) {
+          ASSERT_EQ(page->records.size(), 2U);
+          EXPECT_EQ(page->records.back().key, "d");
+        }
+      });
+}
+
 TEST_F(TruncatedStoreResponseTest, Append_ReturnsOffsetOrIsAmbiguous) {
   this->request_end = "record";
   const std::string body = R"({"offset":123,"end_offset":124})";
