Retry: a node whose backend server has gone does not end the call

Cause: DecideRetry took kNoEndpoint for final. An entry without any endpoint never asks it, so the reason always comes from another node, which lost its backend server after the entry chose it. RetryTest.NodeHasNoBackendServer_IsRetriedElsewhere failed before. Ruled out: the retry budget (no call was given up for it).

--- a/src/execution/retry.cc
+++ b/src/execution/retry.cc
@@ -12,11 +12,11 @@
 constexpr std::int64_t kMillitokensPerRetry = 1000;
 
 // For these reasons a retry is useless: another endpoint would answer the same,
-// or the caller has to change the call.
+// or the caller has to change the call. kNoEndpoint is not among them: a node
+// gives it when its own backend server has gone.
 constexpr std::array kFinalReasons = {
-    Reason::kNoRoute,    Reason::kNoEndpoint, Reason::kDeadline,
-    Reason::kBadRequest, Reason::kDuplicate,  Reason::kKeyUnsettled,
-    Reason::kQuarantined};
+    Reason::kNoRoute,   Reason::kDeadline,     Reason::kBadRequest,
+    Reason::kDuplicate, Reason::kKeyUnsettled, Reason::kQuarantined};
 
 bool IsFinal(Reason reason) {
   return std::ranges::find(kFinalReasons, reason) != kFinalReasons.end();
--- a/tests/execution/retry_test.cc
+++ b/tests/execution/retry_test.cc
@@ -86,6 +86,14 @@
   }
 }
 
+// Guards against a failure found by `./run prove`: calls that reached a node
+// whose backend server had just died failed, while others served them.
+TEST_F(RetryTest, NodeHasNoBackendServer_IsRetriedElsewhere) {
+  FinishedAttempt attempt = NotRun();
+  attempt.reason = Reason::kNoEndpoint;
+  EXPECT_TRUE(this->Retries(attempt));
+}
+
 TEST_F(RetryTest, ManyThreadsSpend_BudgetIsNeverExceeded) {
   constexpr int kThreads = 4;
   constexpr int kCalls = 20000;
