Demo: two fleets at once never share ports

Two runs of prove at once took overlapping ports (bases were multiples of 100, a fleet takes 250): an entry's callers got answers of another fleet's admin pages, and one fleet never became ready. A run now claims 300 ports until it ends.

--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -41,15 +41,27 @@
   end_pids TERM "${back_end_pids[@]}" "${node_pids[@]}" $log_pid
   node_pids=() back_end_pids=() log_pid=""
 }
-trap 'close_fleet; rm -rf "$work"' EXIT
-
-# A run of free ports below the ephemeral range, so that no client takes one.
-free_base() {
-  local base=$((10000 + (RANDOM % 180) * 100))
-  while (exec 3<>"/dev/tcp/127.0.0.1/$base") 2>/dev/null; do
-    base=$((base + 300))
+trap 'close_fleet; rm -rf "$work" "${claims[@]}"' EXIT
+
+# Claims a run of 300 ports below the ephemeral range, so that no client takes
+# one. A fleet has all of them until this script ends: two at once never share
+# one. Sets `base`.
+claims=()
+claim_ports() {
+  local claim
+  while true; do
+    base=$((10000 + (RANDOM % 60) * 300))
+    claim="${TMPDIR:-/tmp}/tanagerledge-ports-$base"
+    # A claim whose script was killed stays behind.
+    if [[ -e "$claim/pid" ]] && ! kill -0 "$(<"$claim/pid")" 2>/dev/null; then
+      rm -rf "$claim"
+    fi
+    if mkdir "$claim" 2>/dev/null; then
+      echo "$$" >"$claim/pid"
+      claims+=("$claim")
+      return
+    fi
   done
-  echo "$base"
 }
 
 # Starting --------------------------------------------------------------------
@@ -86,7 +98,7 @@
 open_fleet() {
   fleet=$1 zone_delay=$2
   shift 2
-  base=$(free_base)
+  claim_ports
   specs=("" "$@")
   count=$#
   fronts=() admins=() back_ends=()
