Gateway: a death is known before its callers are answered

The second check now follows 20 ms after the first, and the answers wait for it, 60 ms at most. A test with a server that listens 5 ms longer failed before: the call was not known as a suspect when its caller had the answer.

--- a/fakes/scripted_backend.h
+++ b/fakes/scripted_backend.h
@@ -53,6 +53,12 @@
     this->closed = true;
     boost::system::error_code ignored;
     this->acceptor.close(ignored);
+    this->CloseConnections();
+  }
+
+  // The same for the connections alone; the server goes on listening.
+  void CloseConnections() {
+    boost::system::error_code ignored;
     std::ranges::for_each(this->sockets, [&ignored](const SocketPtr& socket) {
       socket->close(ignored);
     });
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -26,8 +26,15 @@
 // How long calls already on their way are still run after the stop is announced
 // to the other nodes. The announcement reaches all nodes sooner.
 constexpr milliseconds kServeAfterStop{1000};
-// Minimum time between two checks whether the backend server still listens.
+// A dying process may close its connections before its listener, so a check
+// that finds it listening is repeated after this time.
+constexpr milliseconds kDeathRecheckDelay{20};
+// Minimum time between two such pairs of checks. Each check is a connection.
 constexpr milliseconds kDeathCheckInterval{200};
+// How long the answer to a call whose connection was lost waits for the checks,
+// so that nodes know of a death before its callers send again.
+constexpr milliseconds kMaxDeathCheckWait{60};
+constexpr milliseconds kDeathCheckPoll{5};
 // How long calls whose connection was lost are kept: the death of the backend
 // server may be detected this long after it.
 constexpr milliseconds kLostCallRetention{1000};
@@ -431,7 +438,20 @@
 void BackendGateway::OnConnectionLost(const Call& call) {
   this->lost_calls.push_back(
       {call.fingerprint, call.instance, call.born_ms, Now()});
+  const auto settled = [this, &call] {
+    return std::ranges::none_of(
+        this->lost_calls, [&call](const LostCall& lost) {
+          return lost.fingerprint == call.fingerprint &&
+                 lost.instance == call.instance &&
+                 lost.born_ms == call.born_ms && lost.checks < kDeathChecks;
+        });
+  };
+  const Instant until = Now() + kMaxDeathCheckWait;
   this->DetectBackendDeath();
+  while (!settled() && Now() < until && !this->aborting &&
+         this->loop.SleepFor(kDeathCheckPoll)) {
+    this->DetectBackendDeath();
+  }
 }
 
 // Finds out whether the backend server at which calls were lost has died: it no
@@ -454,9 +474,12 @@
     this->ReportDeathOf(*replaced);
   } else if (!this->lost_calls.empty() && now >= this->next_death_check) {
     const LostCall newest = this->lost_calls.back();
-    this->next_death_check = now + kDeathCheckInterval;
+    this->death_rechecked = !this->death_rechecked;
+    this->next_death_check = now + (this->death_rechecked ? kDeathCheckInterval
+                                                          : kDeathRecheckDelay);
     if (!this->HasListeningBackend()) {
       this->life.OnDied(newest.instance);
+      this->death_rechecked = true;
       this->ReportDeathOf(newest);
     }
     std::ranges::for_each(this->lost_calls, [now](LostCall& lost) {
@@ -496,7 +519,8 @@
   this->events.Write("back end died",
                      {{"instance", lost.instance},
                       {"running", static_cast<std::int64_t>(running.size())}});
-  this->suspects.ReportBackendDeath(running);
+  this->suspects.ReportBackendDeath(
+      lost.instance + "#" + std::to_string(lost.born_ms), running);
 }
 
 HeartbeatVerdict BackendGateway::OnHeartbeat(const Heartbeat& heartbeat) {
--- a/src/sidecar/backend_gateway.h
+++ b/src/sidecar/backend_gateway.h
@@ -176,6 +176,7 @@
   std::vector<LostCall> lost_calls;
   bool checking_death = false;
   Instant next_death_check{};
+  bool death_rechecked = true;  // The last check was the second of a pair.
 };
 
 }  // namespace tanagerledge
--- a/tests/sidecar/backend_gateway_test.cc
+++ b/tests/sidecar/backend_gateway_test.cc
@@ -14,6 +14,7 @@
 
 #include "fakes/scripted_backend.h"
 #include "platform/platform.h"
+#include "src/adapters/clock.h"
 #include "src/node/call_messages.h"
 
 namespace tanagerledge {
@@ -177,6 +178,31 @@
   });
 }
 
+// A process that dies may close its connections before its listener. The caller
+// may send again as soon as it has its answer, so the nodes must know by then.
+TEST_F(BackendGatewayTest,
+       DyingBackendListensLonger_DeathIsKnownBeforeTheAnswer) {
+  this->RunWithBackend(
+      [](const HttpRequest&, int) {
+        return std::vector<Part>{{Success("a-1"), 2 * kCallTimeout}};
+      },
+      [&] {
+        std::optional<SuspectVerdict> known_at_answer;
+        boost::fibers::fiber call([&] {
+          this->Call("a-1");
+          known_at_answer =
+              this->suspects.Admit(FingerprintOf({""}, "POST", "/x/1", ""),
+                                   Now() + kCallTimeout / 4);
+        });
+        this->loop.SleepFor(milliseconds(20));
+        this->backend->CloseConnections();
+        this->loop.SleepFor(milliseconds(5));
+        this->backend->Close();
+        call.join();
+        EXPECT_EQ(known_at_answer, SuspectVerdict::kRunLeased);
+      });
+}
+
 // Only one suspect request runs at a time, so the second one waits.
 TEST_F(BackendGatewayTest, SuspectQueuedAtEndOfStop_IsRejectedAsNotRun) {
   this->RunWithBackend(
@@ -185,7 +211,7 @@
       },
       [&] {
         this->suspects.ReportBackendDeath(
-            {FingerprintOf({""}, "POST", "/x/1", "")});
+            "i-1", {FingerprintOf({""}, "POST", "/x/1", "")});
         wire::CallReply running;
         std::optional<wire::CallReply> waiting;
         boost::fibers::fiber first([&] { running = this->Call("a-1"); });
