Configuration: a few readers of each zone follow the store

ReaderRole names readers by rendezvous hash over the live members of a zone (two in each, nine in all at the least); the others read once at their start, then ask peers of their zone that announce a newer version, after 150 ms those of other zones, and after 500 ms the store. All together check the store once a second, since readers that the store does not serve may not know it. NodeRecordSchedule: a leave is written at once, what only a later restart profits from 2 s later, and what is recorded not again. The node list is read once, and once more by a reader after 4 s; a node that knows no other one lists itself and reads at once.

Its probes began at odd milliseconds and nearly never ran; they run now.

--- a/include/tanagerledge/config_follower.h
+++ b/include/tanagerledge/config_follower.h
@@ -2,13 +2,17 @@
 // peer while the store does not answer.
 //
 // The configuration may keep changing while the store is down, slow, rejects
-// this node, loses replies or has dropped its history. The node reads the store
-// by long polling, so an idle store costs few calls. It queries a peer after a
-// store read has failed, when it has no configuration soon after its start, and
-// when a peer reports a newer version that the store does not deliver in time.
-// A store read that the store held while it had a newer version is abandoned:
-// the store or the connection is silent. When versions follow each other
-// quickly, only the newest one is read.
+// this node, loses replies or has dropped its history. A few nodes, the readers
+// (ReaderRole), read the store by long polling, so an idle store costs few
+// calls. A reader queries a peer after a store read has failed, when it has no
+// configuration soon after its start, and when a peer reports a newer version
+// that the store does not deliver in time. A store read that the store held
+// while it had a newer version is abandoned: the store or the connection is
+// silent. When versions follow each other quickly, only the newest one is read.
+//
+// Any other node reads the store once at its start. Then it queries peers of
+// its own availability zone that report a newer version, those of other zones a
+// little later, and the store itself when it is still behind after that.
 //
 // The class performs no I/O and reads no clock: it takes events and the time
 // and returns actions. At most one store read, besides abandoned ones, and two
@@ -74,9 +78,9 @@
   // a slow link the store may need more than a second for a large one.
   std::chrono::milliseconds start_grace{1000};
   // Interval between peer queries while the store does not answer.
-  std::chrono::milliseconds peer_query_interval{500};
+  std::chrono::milliseconds peer_query_interval{300};
   // The same after a peer that had nothing newer, while this node is behind.
-  std::chrono::milliseconds next_peer_delay{100};
+  std::chrono::milliseconds next_peer_delay{50};
   // A peer may hang until its connection is found dead, so a second one is
   // queried meanwhile.
   int max_peer_queries = 2;
@@ -90,6 +94,11 @@
   // A store read that began before the report is abandoned after this time. The
   // store answers it when it has the version.
   std::chrono::milliseconds silence_timeout{1500};
+  // A node that is no reader: how long it is behind before it queries a peer of
+  // another zone, and before it reads the store. The peers of its own zone have
+  // the version from the readers there, at no price for crossing zones.
+  std::chrono::milliseconds other_zone_grace{150};
+  std::chrono::milliseconds own_read_grace{500};
   // A reported version that cannot be had for this long does not count as newer
   // any more.
   std::chrono::milliseconds max_time_behind{15000};
@@ -103,6 +112,11 @@
   // Call it about every 50 ms.
   FollowActions Tick(Instant now);
 
+  // Whether this node is a reader; it is one at first.
+  void SetReader(bool reads);
+  // Makes a node that is no reader read the store once, as a check.
+  void RequestRead() { this->read_requested = true; }
+
   // The results of a store read.
   void OnNewest(LogOffset end, Instant now);
   // `next` is one past the last record read, `end` one past the last record in
@@ -111,15 +125,17 @@
   void OnStoreError(LogErrorKind kind, Instant now);
 
   // OnPeerAnswered ends a peer query, whether it succeeded or failed.
-  // OnPeerVersion reports the version that is active on a peer.
+  // OnPeerVersion reports the version that is active on a peer, which may be in
+  // this node's availability zone.
   void OnPeerAnswered(Instant now);
-  void OnPeerVersion(std::uint64_t version, Instant now);
+  void OnPeerVersion(std::uint64_t version, bool same_zone, Instant now);
 
   // Makes `version` the active one and returns true if it is newer than the
   // active one; otherwise changes nothing and returns false.
   bool AcceptIfNewer(std::uint64_t version, Instant now);
 
   std::optional<std::uint64_t> version() const { return this->active_version; }
+  bool is_reader() const { return this->reader; }
   // Whether a peer has a newer version, which this node will have soon.
   bool IsBehind(Instant now) const {
     return this->behind_since &&
@@ -134,6 +150,8 @@
 
  private:
   void OnStoreAnswered(Instant now);
+  bool IsReadDue(Instant now) const;
+  bool IsPeerDue(Instant now) const;
   Instant NextBatchAt(Instant now) const;
   // Whether the store should have delivered the peers' version by now.
   bool IsStoreOverdue(Instant now) const;
@@ -145,6 +163,8 @@
   ConfigFollowerConfig config;
   std::optional<std::uint64_t> active_version;
   std::optional<Instant> started_at;
+  bool reader = true;
+  bool read_requested = false;
   // Records are appended faster than this node reads them one by one. Only the
   // newest is then read, every batch_delay, until a read finds nothing new.
   bool falling_behind = false;
@@ -159,6 +179,7 @@
   std::optional<Instant> read_overtaken_at;
   int pending_peer_queries = 0;
   std::uint64_t newest_peer_version = 0;
+  std::uint64_t newest_version_in_zone = 0;  // Of peers in the same zone.
   // When a peer first had a version newer than the active one.
   std::optional<Instant> behind_since;
   int store_failures = 0;  // Consecutive.
--- a/src/distribution/announcement_targets.h
+++ b/src/distribution/announcement_targets.h
@@ -20,23 +20,28 @@
 
 namespace tanagerledge {
 
-// Nodes of the own availability zone to announce to: a configuration is best
-// fetched from there.
-inline constexpr std::size_t kSameZoneAnnouncements = 4;
-// Nodes of other zones, and of the own one if there are too few others.
-inline constexpr std::size_t kOtherZoneAnnouncements = 2;
+struct AnnouncementCounts {
+  // Nodes of the own availability zone to announce to: a configuration is best
+  // fetched from there.
+  std::size_t same_zone = 4;
+  // Nodes of other zones, and of the own one if there are too few others.
+  std::size_t other_zones = 1;
+};
+// For a node that has the version from the store, as few have: a wide first
+// step saves one later.
+inline constexpr AnnouncementCounts kFirstAnnouncements{12, 4};
 
 inline std::vector<NodeId> ChooseAnnouncementTargets(
     const std::vector<NodeId>& same_zone,
     const std::vector<NodeId>& other_zones,
+    const AnnouncementCounts& counts,
     std::mt19937_64& random) {
-  constexpr std::size_t kAll = kSameZoneAnnouncements + kOtherZoneAnnouncements;
-  const std::size_t from_other =
-      std::min(other_zones.size(),
-               kAll - std::min(same_zone.size(), kSameZoneAnnouncements));
+  const std::size_t all = counts.same_zone + counts.other_zones;
+  const std::size_t from_other = std::min(
+      other_zones.size(), all - std::min(same_zone.size(), counts.same_zone));
   std::vector<NodeId> targets;
   std::ranges::sample(same_zone, std::back_inserter(targets),
-                      static_cast<std::ptrdiff_t>(kAll - from_other), random);
+                      static_cast<std::ptrdiff_t>(all - from_other), random);
   std::ranges::sample(other_zones, std::back_inserter(targets),
                       static_cast<std::ptrdiff_t>(from_other), random);
   return targets;
--- a/src/distribution/config_follower.cc
+++ b/src/distribution/config_follower.cc
@@ -11,12 +11,15 @@
     this->CountStoreFailure(now);
     out.emplace_back(AbandonStoreRead{});
   }
-  if (!this->store_read_pending && now >= this->next_store_read_at) {
+  if (this->IsReadDue(now)) {
     this->store_read_pending = true;
     this->store_read_began = now;
     this->read_overtaken_at.reset();
     this->store_read_held = false;
-    if (this->next_offset && !this->falling_behind && !this->IsBehind(now)) {
+    this->read_requested = false;
+    const bool follows = this->reader || !this->active_version;
+    if (follows && this->next_offset && !this->falling_behind &&
+        !this->IsBehind(now)) {
       // After a failure the read does not wait for a new record: the immediate
       // answer shows that the store is back, and brings any missed record.
       const auto wait = this->store_failures > 0 ? std::chrono::milliseconds(0)
@@ -27,13 +30,8 @@
       out.emplace_back(ReadNewestConfig{});
     }
   }
-  const Instant start = this->started_at.value_or(now);
-  this->started_at = start;
-  const bool overdue_start =
-      !this->active_version && now - start >= this->config.start_grace;
-  const bool needs_peer =
-      this->store_failures > 0 || this->IsStoreOverdue(now) || overdue_start;
-  if (needs_peer &&
+  this->started_at = this->started_at.value_or(now);
+  if (this->IsPeerDue(now) &&
       this->pending_peer_queries < this->config.max_peer_queries &&
       now >= this->next_peer_query_at) {
     ++this->pending_peer_queries;
@@ -43,6 +41,38 @@
   return out;
 }
 
+void ConfigFollower::SetReader(bool reads) {
+  if (reads && !this->reader) {
+    // The offset is that of this node's last read, long before the version that
+    // it has from a peer.
+    this->next_offset.reset();
+  }
+  this->reader = reads;
+}
+
+bool ConfigFollower::IsReadDue(Instant now) const {
+  if (this->store_read_pending || now < this->next_store_read_at) {
+    return false;
+  }
+  const bool is_late = this->IsBehind(now) &&
+                       now - *this->behind_since >= this->config.own_read_grace;
+  return this->reader || !this->active_version || is_late ||
+         this->read_requested;
+}
+
+bool ConfigFollower::IsPeerDue(Instant now) const {
+  const bool overdue_start =
+      !this->active_version &&
+      now - *this->started_at >= this->config.start_grace;
+  if (this->reader || !this->active_version) {
+    return this->store_failures > 0 || this->IsStoreOverdue(now) ||
+           overdue_start;
+  }
+  return this->IsBehind(now) &&
+         (this->newest_version_in_zone > *this->active_version ||
+          now - *this->behind_since >= this->config.other_zone_grace);
+}
+
 bool ConfigFollower::IsStoreOverdue(Instant now) const {
   if (!this->IsBehind(now)) {
     return false;
@@ -123,10 +153,16 @@
   }
 }
 
-void ConfigFollower::OnPeerVersion(std::uint64_t version, Instant now) {
+void ConfigFollower::OnPeerVersion(std::uint64_t version,
+                                   bool same_zone,
+                                   Instant now) {
   const bool expired = this->behind_since && !this->IsBehind(now);
   const bool is_news = version > this->newest_peer_version;
   this->newest_peer_version = std::max(this->newest_peer_version, version);
+  if (same_zone) {
+    this->newest_version_in_zone =
+        std::max(this->newest_version_in_zone, version);
+  }
   if (version <= this->active_version.value_or(0)) {
     return;
   }
@@ -137,7 +173,7 @@
     this->behind_since = now;
   }
   // This peer has what the others that were queried may lack.
-  if (this->store_failures > 0 || this->IsStoreOverdue(now)) {
+  if (this->started_at && this->IsPeerDue(now)) {
     this->next_peer_query_at = std::min(this->next_peer_query_at, now);
   }
 }
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -438,17 +438,9 @@
 void BackendGateway::OnConnectionLost(const Call& call) {
   this->lost_calls.push_back(
       {call.fingerprint, call.instance, call.born_ms, Now()});
-  const auto settled = [this, &call] {
-    return std::ranges::none_of(
-        this->lost_calls, [&call](const LostCall& lost) {
-          return lost.fingerprint == call.fingerprint &&
-                 lost.instance == call.instance &&
-                 lost.born_ms == call.born_ms && lost.checks < kDeathChecks;
-        });
-  };
   const Instant until = Now() + kMaxDeathCheckWait;
   this->DetectBackendDeath();
-  while (!settled() && Now() < until && !this->aborting &&
+  while (!this->death_rechecked && Now() < until && !this->aborting &&
          this->loop.SleepFor(kDeathCheckPoll)) {
     this->DetectBackendDeath();
   }
--- a/src/sidecar/config_host.cc
+++ b/src/sidecar/config_host.cc
@@ -27,7 +27,14 @@
 // the node's own zone may be cut off as a whole.
 constexpr int kQuestionsPerOtherZone = 3;
 constexpr std::size_t kMaxPeersWithNewer = 4;
+constexpr std::string_view kFromStore = "store";
 constexpr std::size_t kMaxConfigBytes = 16 * 1024 * 1024;
+// Nodes that are no readers check the store at random, all of them together
+// once in this time: readers that the store does not serve may not know it.
+constexpr milliseconds kFleetCheckInterval{1000};
+// A node that has just started knows few members.
+constexpr milliseconds kCheckDelay{5000};
+constexpr milliseconds kTickInterval{20};
 // A read that takes this long after the store had a record is logged.
 constexpr milliseconds kSlowRead{500};
 
@@ -50,9 +57,30 @@
       platform(platform_port),
       events(event_log),
       sink(std::move(config_sink)),
-      random(seed) {}
+      started(Now()),
+      random(seed) {
+  this->follower.SetReader(false);
+}
+
+void ConfigHost::UpdateRole(Instant now) {
+  const bool reads = this->role.IsReader(now);
+  if (reads != this->follower.is_reader()) {
+    this->events.Write(
+        "store reader",
+        {{"reads", std::int64_t{reads}},
+         {"live", static_cast<std::int64_t>(this->role.live_nodes())}});
+    this->follower.SetReader(reads);
+  }
+  const auto nodes = static_cast<double>(this->role.live_nodes());
+  if (!reads && now - this->started >= kCheckDelay &&
+      std::bernoulli_distribution(
+          kTickInterval / (kFleetCheckInterval * nodes))(this->random)) {
+    this->follower.RequestRead();
+  }
+}
 
 void ConfigHost::OnTick() {
+  this->UpdateRole(Now());
   std::ranges::for_each(
       this->follower.Tick(Now()), [this](const FollowAction& action) {
         this->loop.SpawnHere([this, action] {
@@ -63,7 +91,9 @@
 
 void ConfigHost::SetMembers(const std::vector<Member>& members,
                             const NodeId& self,
-                            const Zone& zone) {
+                            const Zone& zone,
+                            bool isolated) {
+  this->role.OnMembers(members, self, zone, isolated, Now());
   this->same_zone_peers.clear();
   this->other_zone_peers.clear();
   std::ranges::for_each(members, [&](const Member& member) {
@@ -73,7 +103,8 @@
       if (member.release.value > this->follower.version().value_or(0)) {
         this->RememberPeerWithNewer(member.node);
       }
-      this->follower.OnPeerVersion(member.release.value, Now());
+      this->follower.OnPeerVersion(member.release.value, member.zone == zone,
+                                   Now());
     }
   });
 }
@@ -157,7 +188,7 @@
 void ConfigHost::ProcessRecord(const KeyedRecord& record) {
   if (this->last_processed != record.offset) {
     this->last_processed = record.offset;
-    this->ApplyIfNewer(record.value, "store");
+    this->ApplyIfNewer(record.value, kFromStore);
   }
 }
 
@@ -273,11 +304,17 @@
                         {"known", static_cast<std::int64_t>(
                                       this->follower.version().value_or(0))},
                         {"from", from.value}});
-    this->follower.OnPeerVersion(version, Now());
+    this->follower.OnPeerVersion(version, this->IsInOwnZone(from), Now());
   }
 }
 
-void ConfigHost::NotifyPeers(std::uint64_t version) {
+bool ConfigHost::IsInOwnZone(const NodeId& node) const {
+  return std::ranges::find(this->same_zone_peers, node) !=
+         this->same_zone_peers.end();
+}
+
+void ConfigHost::NotifyPeers(std::uint64_t version,
+                             const AnnouncementCounts& counts) {
   wire::ConfigAnswer notice;
   notice.version = static_cast<std::int64_t>(version);
   const std::string bytes = Encode(notice);
@@ -288,12 +325,13 @@
         [this](const NodeId& node) { return this->peers.IsConnected(node); });
     return found;
   };
-  std::ranges::for_each(ChooseAnnouncementTargets(
-                            connected(this->same_zone_peers),
-                            connected(this->other_zone_peers), this->random),
-                        [&](const NodeId& node) {
-                          this->peers.Send(node, Channel::kConfig, bytes);
-                        });
+  std::ranges::for_each(
+      ChooseAnnouncementTargets(connected(this->same_zone_peers),
+                                connected(this->other_zone_peers), counts,
+                                this->random),
+      [&](const NodeId& node) {
+        this->peers.Send(node, Channel::kConfig, bytes);
+      });
 }
 
 void ConfigHost::RememberPeerWithNewer(const NodeId& peer) {
@@ -301,9 +339,7 @@
       this->peers_with_newer.end()) {
     return;
   }
-  const bool in_same_zone = std::ranges::find(this->same_zone_peers, peer) !=
-                            this->same_zone_peers.end();
-  if (in_same_zone) {
+  if (this->IsInOwnZone(peer)) {
     this->peers_with_newer.push_front(peer);
   } else {
     this->peers_with_newer.push_back(peer);
@@ -337,7 +373,8 @@
   if (!this->IsBehind()) {
     this->peers_with_newer.clear();
   }
-  this->NotifyPeers(version);
+  this->NotifyPeers(version, source == kFromStore ? kFirstAnnouncements
+                                                  : AnnouncementCounts{});
   return true;
 }
 
--- a/src/sidecar/config_host.h
+++ b/src/sidecar/config_host.h
@@ -19,10 +19,12 @@
 #include "src/adapters/event_log.h"
 #include "src/adapters/fiber_io.h"
 #include "src/adapters/peer_transport.h"
+#include "src/distribution/announcement_targets.h"
 #include "src/sidecar/platform_port.h"
 #include "tanagerledge/config_follower.h"
 #include "tanagerledge/member.h"
 #include "tanagerledge/ports.h"
+#include "tanagerledge/reader_role.h"
 
 namespace tanagerledge {
 
@@ -41,10 +43,14 @@
 
   // Must be called about every 20 ms.
   void OnTick();
+  // `isolated`: no other node responds.
   void SetMembers(const std::vector<Member>& members,
                   const NodeId& self,
-                  const Zone& zone);
+                  const Zone& zone,
+                  bool isolated);
 
+  // Whether this node reads the store for others too.
+  bool is_reader() const { return this->follower.is_reader(); }
   bool store_answers() const { return this->follower.store_answers(); }
   // Whether another node has a newer configuration.
   bool IsBehind() const;
@@ -55,6 +61,8 @@
   void OnPeerNotice(const NodeId& from, std::string_view notice);
 
  private:
+  void UpdateRole(Instant now);
+  bool IsInOwnZone(const NodeId& node) const;
   void Execute(const ReadNewestConfig& action);
   void Execute(const ReadConfigRecords& action);
   void Execute(const AskPeerForConfig& action);
@@ -67,7 +75,7 @@
   void ProcessRecord(const KeyedRecord& record);
   // Puts a configuration into effect if it is newer; returns whether it did.
   bool ApplyIfNewer(std::string_view content, std::string_view source);
-  void NotifyPeers(std::uint64_t version);
+  void NotifyPeers(std::uint64_t version, const AnnouncementCounts& counts);
   // Remembers a node with a newer configuration, which is asked first.
   void RememberPeerWithNewer(const NodeId& peer);
   std::optional<NodeId> NextPeer();
@@ -80,6 +88,8 @@
   EventLog& events;
   Sink sink;
   ConfigFollower follower;
+  ReaderRole role;
+  const Instant started;
   // The current configuration as stored, and its compressed form, which is
   // produced when a peer first asks for it.
   std::string content;
--- a/src/sidecar/node_directory.cc
+++ b/src/sidecar/node_directory.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
 #include "src/adapters/net.h"
 
@@ -16,8 +17,7 @@
 // read and a write per node, out of the 400 writes and 2,000 reads per second
 // that all nodes share.
 constexpr milliseconds kRetryInterval{1000};
-// Changes of the backend server are collected this long before a write.
-constexpr milliseconds kWriteDelay{100};
+constexpr milliseconds kPollInterval{50};
 
 // Another writer may have left an entry that no node writes.
 bool IsUsable(const std::string& key, const wire::NodeRecord& record) {
@@ -56,32 +56,24 @@
   this->loop.Spawn([this] { this->Run(); });
 }
 
-// Reads the list, writes this node's record and reads the list again. The first
-// read returns what an earlier start wrote about this node. The second read
-// makes sure that of two nodes which start at once, at least one sees the
-// other.
+// The first read returns what an earlier start wrote about this node, so that
+// its record is written only after it.
 void NodeDirectory::Run() {
   while (!this->ReadList()) {
     if (!this->loop.SleepFor(kRetryInterval)) {
       return;
     }
   }
-  this->own_record_changed = true;
-  bool read_after_write = false;
-  do {
-    if (this->own_record_changed) {
-      this->own_record_changed = false;
-      if (!this->WriteOwn()) {
-        this->own_record_changed = true;
-        this->loop.SleepFor(kRetryInterval);
-        continue;
-      }
+  this->schedule.OnChanged(this->own_record, Now());
+  while (this->loop.SleepFor(kPollInterval)) {
+    if (this->schedule.IsDue(Now())) {
+      this->WriteOwn();
     }
-    if (!read_after_write) {
-      read_after_write = this->ReadList();
+    if (std::exchange(this->read_requested, false) && !this->ReadList()) {
+      this->read_requested = true;
+      this->loop.SleepFor(kRetryInterval);
     }
-  } while (
-      this->loop.SleepFor(read_after_write ? kWriteDelay : kRetryInterval));
+  }
 }
 
 bool NodeDirectory::ReadList() {
@@ -103,6 +95,7 @@
   // server.
   const auto previous = records.find(this->self);
   if (previous != records.end() && !this->list_read) {
+    this->schedule.OnStored(previous->second);
     if (!this->own_record_set) {
       this->own_record = previous->second;
     }
@@ -113,14 +106,25 @@
   return true;
 }
 
-bool NodeDirectory::WriteOwn() {
+void NodeDirectory::RequestListing() {
+  if (this->list_read) {
+    this->schedule.OnListingNeeded(Now());
+    this->read_requested = true;
+  }
+}
+
+void NodeDirectory::WriteOwn() {
+  const wire::NodeRecord written = this->own_record;
   const auto put = this->store.Put(this->stream, this->self.value,
-                                   Encode(this->own_record), kStoreTimeout);
+                                   Encode(written), kStoreTimeout);
   if (!put) {
     this->events.Write("node record not written",
                        {{"error", put.error().text}});
+    this->schedule.OnWriteFailed(Now());
+    return;
   }
-  return put.has_value();
+  this->schedule.OnStored(written);
+  this->schedule.OnChanged(this->own_record, Now());
 }
 
 void NodeDirectory::SetQuarantined(
@@ -140,7 +144,9 @@
   }
   recorded = std::move(quarantined);
   this->own_record.__isset.quarantined = !recorded.empty();
-  this->own_record_changed = this->list_read;
+  if (this->list_read) {
+    this->schedule.OnChanged(this->own_record, Now());
+  }
 }
 
 void NodeDirectory::SetBackend(const Heartbeat& backend, EndpointState state) {
@@ -152,7 +158,9 @@
   this->own_record.slots = backend.slots;
   this->own_record.state = static_cast<std::int32_t>(state);
   this->own_record_set = true;
-  this->own_record_changed = true;
+  if (this->list_read) {
+    this->schedule.OnChanged(this->own_record, Now());
+  }
 }
 
 }  // namespace tanagerledge
--- a/src/sidecar/node_directory.h
+++ b/src/sidecar/node_directory.h
@@ -3,9 +3,12 @@
 // backend server.
 //
 // Failure pattern: many or all nodes lose power at once. Gossip takes a second
-// or two to fill an empty member table; the list takes one read. Its content is
-// only a hint: the node next to a backend server decides whether to run a call,
-// and a wrong hint costs one hop.
+// or two to fill an empty member table; the list takes one read. Each node
+// reads it at its start. Of the nodes that start at once none may see another
+// one, so the readers of the configuration, which every group of nodes has,
+// read it again some seconds later. Its content is only a hint: the node next
+// to a backend server decides whether to run a call, and a wrong hint costs one
+// hop.
 
 #ifndef TANAGERLEDGE_SRC_SIDECAR_NODE_DIRECTORY_H_
 #define TANAGERLEDGE_SRC_SIDECAR_NODE_DIRECTORY_H_
@@ -21,6 +24,7 @@
 
 #include "src/adapters/event_log.h"
 #include "src/adapters/fiber_io.h"
+#include "src/sidecar/node_record_schedule.h"
 #include "tanagerledge/backend_life.h"
 #include "tanagerledge/ports.h"
 #include "tanagerledge/snapshot.h"
@@ -46,9 +50,14 @@
   // Starts the fiber that reads the list and writes this node's record, and
   // retries each until it succeeds.
   void Start();
+  // Reads the list once more.
+  void RequestRead() { this->read_requested = true; }
+  // Makes sure that this node is listed, and reads the list after that: of two
+  // nodes that do so at once, at least one sees the other.
+  void RequestListing();
 
-  // Sets the state of the local backend server; it is written after a short
-  // delay.
+  // Sets the state of the local backend server, which NodeRecordSchedule
+  // decides when to write.
   void SetBackend(const Heartbeat& backend, EndpointState state);
   // Sets the calls under which backend servers beside this node died. Written
   // when the set of calls changes.
@@ -57,7 +66,7 @@
  private:
   void Run();
   bool ReadList();
-  bool WriteOwn();
+  void WriteOwn();
 
   IoLoop& loop;
   KeyedLogPort& store;
@@ -66,9 +75,10 @@
   const NodeId self;
   const Sink sink;
   wire::NodeRecord own_record;
-  bool list_read = false;           // At least once.
-  bool own_record_set = false;      // SetBackend was called.
-  bool own_record_changed = false;  // Since the last write.
+  NodeRecordSchedule schedule;
+  bool list_read = false;       // At least once.
+  bool own_record_set = false;  // SetBackend was called.
+  bool read_requested = false;
 };
 
 }  // namespace tanagerledge
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -25,6 +25,14 @@
 constexpr int kTicksPerQuarantineRecord = 5;
 // Ticks between log lines with the bytes sent so far: 10 s.
 constexpr int kTicksPerTrafficLog = 500;
+// When a reader of the configuration reads the node list again. Nodes that have
+// started with it have written their records by then.
+constexpr milliseconds kNodeListReadDelay{4000};
+// Ticks between reads of the node list by a node that knows no other live one:
+// at first, when others may be starting, and later.
+constexpr int kTicksPerFirstLonelyRead = 25;
+constexpr int kTicksPerLonelyRead = 250;
+constexpr milliseconds kFirstLonelyReads{5000};
 // How long hints from the node list are used. Gossip has filled the member
 // table by then.
 constexpr milliseconds kHintLifetime{5000};
@@ -359,11 +367,30 @@
     }
     this->gateway.OnTick();
     this->configs.OnTick();
+    this->MaybeReadNodeList(ticks);
     this->AnnounceBackend();
     this->events.Flush();
   }
 }
 
+// Two groups of nodes may not know of each other, or this node of any other
+// one. Each group has readers of the configuration, which read the node list
+// too: a while after the start, when all nodes that started with this one are
+// listed.
+void Sidecar::MaybeReadNodeList(int ticks) {
+  const auto up = Now() - this->started;
+  if (std::ranges::count_if(this->members, &IsLive) <= 1) {
+    const int interval =
+        up < kFirstLonelyReads ? kTicksPerFirstLonelyRead : kTicksPerLonelyRead;
+    if (ticks % interval == interval - 1) {
+      this->directory.RequestListing();
+    }
+  } else if (up >= kNodeListReadDelay && this->configs.is_reader() &&
+             !std::exchange(this->node_list_read_again, true)) {
+    this->directory.RequestRead();
+  }
+}
+
 void Sidecar::OnConfig(std::shared_ptr<const MeshConfig> next) {
   this->mesh = std::move(next);
   HttpLimits limits;
@@ -407,8 +434,10 @@
   std::ranges::for_each(records, [&](const auto& listed) {
     const auto& [node, record] = listed;
     this->suspects.OnRecorded(QuarantinesOf(node, record));
+    // A warming backend server is ready soon, and that is not recorded.
     const bool ready =
-        record.state == static_cast<std::int32_t>(EndpointState::kReady);
+        record.state == static_cast<std::int32_t>(EndpointState::kReady) ||
+        record.state == static_cast<std::int32_t>(EndpointState::kWarming);
     if (node == this->settings.address) {
       if (record.state == static_cast<std::int32_t>(EndpointState::kDraining)) {
         this->gateway.OnLeftEarlier(HeartbeatOf(record));
@@ -461,7 +490,8 @@
   const auto live =
       static_cast<std::size_t>(std::ranges::count_if(all, &IsLive));
   this->entry.SetLiveNodes(live);
-  this->configs.SetMembers(all, this->settings.address, this->settings.zone);
+  this->configs.SetMembers(all, this->settings.address, this->settings.zone,
+                           this->membership.isolated());
   const auto& backend = this->gateway.backend();
   this->suspects.SetMembers(
       all, backend ? backend->service : this->settings.service);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -61,6 +61,7 @@
   tl::expected<void, std::string> Listen();
   PeerHandlers MakeHandlers();
   void RunTicks();
+  void MaybeReadNodeList(int ticks);
   void OnConfig(std::shared_ptr<const MeshConfig> next);
   void OnNodeList(const NodeDirectory::Records& records);
   void ConfirmBackend();
@@ -112,6 +113,7 @@
   std::optional<Heartbeat> recorded_backend;  // Recorded by the last start.
   bool checking_health = false;               // A health check is in progress.
   const Instant started;                      // For the uptime in log lines.
+  bool node_list_read_again = false;          // After the first read.
   bool stopping = false;
   // Requests without an answer, except those whose caller has disconnected.
   std::uint64_t unanswered = 0;
