--- a/src/sidecar/config_host.cc
+++ b/src/sidecar/config_host.cc
@@ -49,6 +49,7 @@
                        KeyedLogPort& store_port,
                        const PlatformPort& platform_port,
                        EventLog& event_log,
+                       StoreCalls& store_calls,
                        std::uint64_t seed,
                        Sink config_sink)
     : loop(io_loop),
@@ -56,6 +57,7 @@
       store(store_port),
       platform(platform_port),
       events(event_log),
+      calls(store_calls),
       sink(std::move(config_sink)),
       started(Now()),
       random(seed) {
@@ -118,6 +120,7 @@
 void ConfigHost::Execute(const ReadNewestConfig&) {
   const std::uint64_t read = this->current_read;
   const Instant asked = Now();
+  ++this->calls.config_reads;
   auto page =
       this->store.ReadNewest(this->platform.ConfigStream(), kStoreTimeout);
   if (Since(asked) >= kSlowRead) {
@@ -144,6 +147,7 @@
 void ConfigHost::Execute(const ReadConfigRecords& action) {
   constexpr std::size_t kOneRecord = 1;
   const std::uint64_t read = this->current_read;
+  ++this->calls.config_polls;
   auto page =
       this->store.Read(this->platform.ConfigStream(), action.from, kOneRecord,
                        action.wait, action.wait + kStoreTimeout);
--- a/src/sidecar/config_host.h
+++ b/src/sidecar/config_host.h
@@ -21,6 +21,7 @@
 #include "src/adapters/peer_transport.h"
 #include "src/distribution/announcement_targets.h"
 #include "src/sidecar/platform_port.h"
+#include "src/sidecar/store_calls.h"
 #include "tanagerledge/config_follower.h"
 #include "tanagerledge/member.h"
 #include "tanagerledge/ports.h"
@@ -38,6 +39,7 @@
              KeyedLogPort& store,
              const PlatformPort& platform,
              EventLog& events,
+             StoreCalls& calls,
              std::uint64_t seed,
              Sink sink);
 
@@ -86,6 +88,7 @@
   KeyedLogPort& store;
   const PlatformPort& platform;
   EventLog& events;
+  StoreCalls& calls;
   Sink sink;
   ConfigFollower follower;
   ReaderRole role;
--- a/src/sidecar/node_directory.cc
+++ b/src/sidecar/node_directory.cc
@@ -38,6 +38,7 @@
 NodeDirectory::NodeDirectory(IoLoop& io_loop,
                              KeyedLogPort& store_port,
                              EventLog& event_log,
+                             StoreCalls& store_calls,
                              std::string_view node_stream,
                              NodeId own_node,
                              Zone own_zone,
@@ -45,6 +46,7 @@
     : loop(io_loop),
       store(store_port),
       events(event_log),
+      calls(store_calls),
       stream(node_stream),
       self(std::move(own_node)),
       sink(std::move(list_sink)) {
@@ -77,6 +79,7 @@
 }
 
 bool NodeDirectory::ReadList() {
+  ++this->calls.list_reads;
   const auto page = this->store.ReadNewest(this->stream, kStoreTimeout);
   if (!page) {
     this->events.Write("node list not read", {{"error", page.error().text}});
@@ -115,6 +118,7 @@
 
 void NodeDirectory::WriteOwn() {
   const wire::NodeRecord written = this->own_record;
+  ++this->calls.record_writes;
   const auto put = this->store.Put(this->stream, this->self.value,
                                    Encode(written), kStoreTimeout);
   if (!put) {
--- a/src/sidecar/node_directory.h
+++ b/src/sidecar/node_directory.h
@@ -25,6 +25,7 @@
 #include "src/adapters/event_log.h"
 #include "src/adapters/fiber_io.h"
 #include "src/sidecar/node_record_schedule.h"
+#include "src/sidecar/store_calls.h"
 #include "tanagerledge/backend_life.h"
 #include "tanagerledge/ports.h"
 #include "tanagerledge/snapshot.h"
@@ -42,6 +43,7 @@
   NodeDirectory(IoLoop& loop,
                 KeyedLogPort& store,
                 EventLog& events,
+                StoreCalls& calls,
                 std::string_view stream,
                 NodeId self,
                 Zone zone,
@@ -71,6 +73,7 @@
   IoLoop& loop;
   KeyedLogPort& store;
   EventLog& events;
+  StoreCalls& calls;
   const std::string stream;
   const NodeId self;
   const Sink sink;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -207,6 +207,7 @@
               *this->store,
               this->platform,
               this->events,
+              this->store_calls,
               this->identity.incarnation.value,
               [this](std::shared_ptr<const MeshConfig> next) {
                 this->OnConfig(std::move(next));
@@ -214,6 +215,7 @@
       directory(this->loop,
                 *this->store,
                 this->events,
+                this->store_calls,
                 this->platform.NodeStream(),
                 this->settings.address,
                 this->settings.zone,
@@ -416,13 +418,21 @@
                           datagrams_sent +=
                               static_cast<std::int64_t>(traffic.sent_bytes);
                         });
-  this->events.Write("traffic",
-                     {{"call_bytes", this->BytesSent(Channel::kCall)},
-                      {"question_bytes", this->BytesSent(Channel::kSend)},
-                      {"config_bytes", this->BytesSent(Channel::kConfig)},
-                      {"membership_bytes", datagrams_sent},
-                      {"connects", static_cast<std::int64_t>(
-                                       this->peer_counters.connects.load())}});
+  this->events.Write(
+      "traffic", {{"call_bytes", this->BytesSent(Channel::kCall)},
+                  {"question_bytes", this->BytesSent(Channel::kSend)},
+                  {"config_bytes", this->BytesSent(Channel::kConfig)},
+                  {"membership_bytes", datagrams_sent},
+                  {"store_config_reads",
+                   static_cast<std::int64_t>(this->store_calls.config_reads)},
+                  {"store_config_polls",
+                   static_cast<std::int64_t>(this->store_calls.config_polls)},
+                  {"store_list_reads",
+                   static_cast<std::int64_t>(this->store_calls.list_reads)},
+                  {"store_record_writes",
+                   static_cast<std::int64_t>(this->store_calls.record_writes)},
+                  {"connects", static_cast<std::int64_t>(
+                                   this->peer_counters.connects.load())}});
 }
 
 // Fleet -----------------------------------------------------------------------
@@ -665,6 +675,21 @@
   add_gauge("tanagerledge_store_answers",
             "1 unless the last request to the store failed.",
             [this] { return this->configs.store_answers(); });
+  add_gauge("tanagerledge_store_reader",
+            "1 while this node follows the configuration in the store.",
+            [this] { return this->configs.is_reader(); });
+  add_gauge("tanagerledge_store_config_reads_total",
+            "Reads of the newest configuration in the store.",
+            [this] { return this->store_calls.config_reads; });
+  add_gauge("tanagerledge_store_config_polls_total",
+            "Reads of the store that may wait for a new configuration.",
+            [this] { return this->store_calls.config_polls; });
+  add_gauge("tanagerledge_store_list_reads_total",
+            "Reads of the node list in the store.",
+            [this] { return this->store_calls.list_reads; });
+  add_gauge("tanagerledge_store_record_writes_total",
+            "Writes of this node's record in the node list.",
+            [this] { return this->store_calls.record_writes; });
   add_gauge("tanagerledge_live_members", "Nodes that count as live.",
             [this] { return std::ranges::count_if(this->members, &IsLive); });
   add_gauge("tanagerledge_back_end_state",
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -33,6 +33,7 @@
 #include "src/sidecar/node_directory.h"
 #include "src/sidecar/platform_port.h"
 #include "src/sidecar/sidecar_metrics.h"
+#include "src/sidecar/store_calls.h"
 #include "tanagerledge/ports.h"
 #include "tanagerledge/stop_plan.h"
 
@@ -94,6 +95,7 @@
   PeerTransport peers;
   UdpPort datagrams;
   std::unique_ptr<KeyedLogPort> store;
+  StoreCalls store_calls;
   SuspectHost suspects;
   BackendGateway gateway;
   MeshEntry entry;
