Executor: a death is known before its callers are answered

The fault of BackendGateway on the other call path: a backend server that closes its connections before its listener passed the only check, and the caller's repeat ran before any node knew of the death. A second check follows after 20 ms, for calls that were sent and have time left. The test failed before: the decisions of the node had no death when its caller had the answer.

--- a/src/node/executor.cc
+++ b/src/node/executor.cc
@@ -1,6 +1,7 @@
 #include "src/node/executor.h"
 
 #include <algorithm>
+#include <boost/fiber/operations.hpp>
 #include <chrono>
 #include <limits>
 #include <utility>
@@ -20,6 +21,9 @@
 // How long calls whose connection was lost are kept: the death of a backend
 // server may be detected this long after it.
 constexpr std::chrono::seconds kLostCallRetention{5};
+// A dying process may close its connections before its listener, so a check
+// that finds it listening is repeated after this time.
+constexpr milliseconds kDeathRecheckDelay{20};
 constexpr std::int64_t kMaxCallUs = 600'000'000;
 
 std::string UnixMicroseconds(Instant at) {
@@ -230,7 +234,16 @@
 wire::CallReply Executor::OnNoAnswer(BackendLink& link,
                                      Call& call,
                                      const HttpError& error) {
-  if (!link.IsListening(call.backend.backend)) {
+  bool listening = link.IsListening(call.backend.backend);
+  const bool may_be_dying = listening && error.may_have_arrived &&
+                            Now() + kDeathRecheckDelay < call.deadline;
+  if (may_be_dying) {
+    // The caller may send again as soon as it is answered, so the nodes must
+    // know of the death by then.
+    boost::this_fiber::sleep_for(kDeathRecheckDelay);
+    listening = link.IsListening(call.backend.backend);
+  }
+  if (!listening) {
     this->OnDied(call.backend);
   }
   if (!error.may_have_arrived) {
--- a/tests/node/call_path_test.cc
+++ b/tests/node/call_path_test.cc
@@ -215,6 +215,49 @@
   loop.Join();
 }
 
+// A process that dies may close its connections before its listener. The caller
+// may send again as soon as it has its answer, so the node must know by then.
+TEST_F(CallPathTest, DyingBackendListensLonger_DeathIsKnownBeforeTheAnswer) {
+  using Parts = std::vector<ScriptedBackend::Part>;
+  const std::string success = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  std::atomic<bool> runs{false};
+  IoLoop loop;
+  ScriptedBackend backend(loop, [&](const HttpRequest& request, int) {
+    runs = request.target == "/claim";
+    return Parts{{success, runs ? milliseconds(1000) : milliseconds(0)}};
+  });
+  loop.Start();
+  this->mesh.Publish(kNote);
+  this->entry = this->mesh.AddNode({});
+  HttpRequest announcement;
+  announcement.method = "POST";
+  announcement.target = "/announce";
+  announcement.body =
+      nlohmann::json{{"service", "claims"}, {"address", backend.address()},
+                     {"slots", 4},          {"connections", 8},
+                     {"state", "ready"},    {"instance", "1"}}
+          .dump();
+  ASSERT_EQ(this->mesh.Send(this->mesh.admin_address(0), announcement)->status,
+            200);
+  ASSERT_TRUE(this->mesh.AwaitServed(this->entry, "/read"));
+  loop.Spawn([&] {
+    while (!runs) {
+      loop.SleepFor(milliseconds(1));
+    }
+    backend.CloseConnections();
+    loop.SleepFor(milliseconds(5));
+    backend.Close();
+  });
+  EXPECT_EQ(OutcomeOf(this->Call("POST", "/claim")), "unknown connection-lost");
+  HttpRequest explain;
+  explain.target = "/explain";
+  const auto page = this->mesh.Send(this->mesh.admin_address(0), explain);
+  ASSERT_TRUE(page);
+  EXPECT_NE(page->body.find("died"), std::string::npos) << page->body;
+  loop.Spawn([&] { loop.Stop(); });
+  loop.Join();
+}
+
 TEST_F(CallPathTest, NoRouteMatches_OutcomeIsNotRun) {
   this->StartServing();
   const HttpResponse response = this->Call("GET", "/elsewhere");
