--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -579,6 +579,11 @@
     return backend.Ran().size() == before;
   }
 
+  bool IsStoreReader(const Settings& node) {
+    return this->Send(node.metrics_address, {})
+               .body.find("tanagerledge_store_reader 1\n") != std::string::npos;
+  }
+
   bool HasVersion(const Settings& node, int version) {
     return this->Send(node.metrics_address, {})
                .body.find("tanagerledge_config_version " +
@@ -786,6 +791,8 @@
     return this->HasVersion(archive, 1) && this->HasVersion(claims, 1);
   }));
   EXPECT_EQ(this->Call(claims, "newer.example").status, 404);
+  // A node that is no reader would ask its peer at once.
+  ASSERT_TRUE(this->Eventually([&] { return this->IsStoreReader(claims); }));
   std::this_thread::sleep_for(seconds(1));  // The node waits at the store.
   this->store_is_silent = true;
   this->Configure(2, "newer.example");
