--- a/fakes/scripted_backend.h
+++ b/fakes/scripted_backend.h
@@ -56,7 +56,8 @@
     this->CloseConnections();
   }
 
-  // The same for the connections alone; the server goes on listening.
+  // Closes all connections; the server goes on listening. Must be called on the
+  // loop.
   void CloseConnections() {
     boost::system::error_code ignored;
     std::ranges::for_each(this->sockets, [&ignored](const SocketPtr& socket) {
--- a/src/sidecar/node_record_schedule.h
+++ b/src/sidecar/node_record_schedule.h
@@ -21,10 +21,10 @@
 namespace tanagerledge {
 
 struct NodeRecordScheduleConfig {
-  // Changes are collected this long before a write.
+  // Changes that a restart must know are collected this long before a write.
   std::chrono::milliseconds urgent_delay{100};
-  // The same if only a later restart profits from the write. A backend server
-  // that starts with its node has sent a heartbeat by then.
+  // Changes that only make a later restart quicker are collected this long. A
+  // backend server that starts with its node has sent a heartbeat by then.
   std::chrono::milliseconds delay{2000};
   std::chrono::milliseconds retry_delay{1000};
 };
--- a/tests/distribution/config_follower_test.cc
+++ b/tests/distribution/config_follower_test.cc
@@ -172,8 +172,7 @@
   EXPECT_TRUE(HasAction<AskPeerForConfig>(this->Tick(milliseconds(700))));
 }
 
-// Nodes that are no readers
-// ----------------------------------------------------
+// Nodes that are no readers.
 
 class NoReaderTest : public ConfigFollowerTest {
  protected:
