--- a/tests/distribution/reader_role_test.cc
+++ b/tests/distribution/reader_role_test.cc
@@ -72,18 +72,24 @@
 // At its start a node knows few members, and would count itself in.
 TEST_F(ReaderRoleTest, MembersBecomeKnownAfterTheStart_OnlyTheChosenRead) {
   this->AddNodes("a", 60);
-  const NodeId self{"a0"};
-  const bool is_chosen = std::ranges::find(this->Readers()["a"], self) !=
-                         this->Readers()["a"].end();
-  ReaderRole role;
-  role.OnMembers({this->members.front()}, self, {"a"}, false, this->now);
-  role.OnMembers(this->members, self, {"a"}, false,
-                 this->now + milliseconds(1500));
-  for (int ms = 0; ms < 20'000; ms += 100) {
-    if (role.IsReader(this->now + milliseconds(ms))) {
-      EXPECT_TRUE(is_chosen);
-      EXPECT_GE(milliseconds(ms), ReaderRoleConfig().start_delay);
+  const auto readers = this->Readers()["a"];
+  for (const Member& member : this->members) {
+    const NodeId& self = member.node;
+    const bool is_chosen = std::ranges::find(readers, self) != readers.end();
+    constexpr milliseconds kMembersKnownAfter{500};
+    ReaderRole role;
+    role.OnMembers({member}, self, {"a"}, false, this->now);
+    bool has_read = false;
+    for (milliseconds up{0}; up < seconds(20); up += milliseconds(100)) {
+      if (up == kMembersKnownAfter) {
+        role.OnMembers(this->members, self, {"a"}, false, this->now + up);
+      }
+      if (role.IsReader(this->now + up)) {
+        has_read = true;
+        EXPECT_GE(up, kMembersKnownAfter + ReaderRoleConfig().start_delay);
+      }
     }
+    EXPECT_EQ(has_read, is_chosen);
   }
 }
 
