Log what becomes of requests that may crash backend servers

An on-call engineer could see the death of a backend server and the refusals after it, but not which requests it made suspects, which were passed over as answered lately, which answer cleared one, how the look at the port ended, or which nodes missed the news.

New lines: suspects, suspect ran, suspect cleared, back end checked, news of suspects unanswered; a fingerprint in each line about a call. No logic is changed.

--- a/include/tanagerledge/suspects.h
+++ b/include/tanagerledge/suspects.h
@@ -40,6 +40,9 @@
                           std::string_view target,
                           std::string_view body);
 
+// The fingerprint as 16 hexadecimal digits, for logs.
+std::string ToText(Fingerprint fingerprint);
+
 // Table ---------------------------------------------------------------------
 
 enum class SuspectState { kClear = 0, kSuspect = 1, kQuarantined = 2 };
--- a/src/execution/suspects.cc
+++ b/src/execution/suspects.cc
@@ -27,6 +27,16 @@
   return {HashOf(call, body)};
 }
 
+std::string ToText(Fingerprint fingerprint) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  constexpr int kBitsPerDigit = 4;
+  std::string text;
+  for (int shift = 64 - kBitsPerDigit; shift >= 0; shift -= kBitsPerDigit) {
+    text += kDigits[(fingerprint.value >> shift) & 0xF];
+  }
+  return text;
+}
+
 SuspectTable::SuspectTable(SuspectConfig table_config) : config(table_config) {}
 
 // Verdicts ------------------------------------------------------------------
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -1,8 +1,12 @@
 #include "src/node/node.h"
 
 #include <algorithm>
+#include <initializer_list>
+#include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
+#include <variant>
 
 #include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
@@ -38,6 +42,21 @@
   return config;
 }
 
+// The fields of a log event as `name value, name value`.
+std::string ToSentence(std::initializer_list<EventField> fields) {
+  std::string text;
+  for (const EventField& field : fields) {
+    text += text.empty() ? "" : ", ";
+    text += std::string(field.name) + " ";
+    if (const auto* number = std::get_if<std::int64_t>(&field.value)) {
+      text += std::to_string(*number);
+    } else {
+      text += std::get<std::string_view>(field.value);
+    }
+  }
+  return text;
+}
+
 }  // namespace
 
 // The event loop, the servers and the state of one worker thread.
@@ -96,6 +115,10 @@
   this->membership = std::make_unique<MembershipHost>(
       this->control, this->control_peers, this->datagrams, member_config,
       [this](const std::vector<Member>& all) { this->OnMembers(all); });
+  this->suspects.SetEventSink([this](std::string_view event,
+                                     std::initializer_list<EventField> fields) {
+    this->decisions.Add(Part::kBackend, std::string(event), ToSentence(fields));
+  });
   this->membership->SetQuarantineDigest(
       [this] { return this->suspects.QuarantineDigest(); },
       [this](const NodeId& from, std::int64_t digest) {
--- a/src/node/suspect_host.cc
+++ b/src/node/suspect_host.cc
@@ -74,6 +74,10 @@
                          NodeId own_node)
     : control(control_loop), peers(peer_port), self(std::move(own_node)) {}
 
+void SuspectHost::SetEventSink(EventSink event_sink) {
+  this->log = std::move(event_sink);
+}
+
 void SuspectHost::Start() {
   this->control.Spawn([this] {
     while (this->control.SleepFor(kExpiryInterval)) {
@@ -225,6 +229,11 @@
     this->UpdateSuspectCount();
   }
   if (suspicion) {
+    this->log(
+        "suspect cleared",
+        {{"fingerprint", ToText(fingerprint)},
+         {"deaths", suspicion->deaths},
+         {"leased", std::int64_t{verdict == SuspectVerdict::kRunLeased}}});
     this->control.Spawn([this, suspicion] { this->Broadcast({*suspicion}); });
   }
 }
@@ -238,6 +247,7 @@
         this->table.OnBackendDied(this->self, backend_start, running, Now());
     this->UpdateSuspectCount();
   }
+  this->LogDeath(backend_start, running, suspicions);
   if (suspicions.empty()) {
     return;
   }
@@ -248,6 +258,36 @@
         });
 }
 
+void SuspectHost::LogDeath(std::string_view backend_start,
+                           const std::vector<Fingerprint>& running,
+                           const std::vector<Suspicion>& suspicions) const {
+  const auto list = [](std::vector<Fingerprint> fingerprints) {
+    // A line of the log has room for this many.
+    constexpr std::size_t kMaxListed = 32;
+    std::ranges::sort(fingerprints);
+    const auto repeated = std::ranges::unique(fingerprints);
+    fingerprints.erase(repeated.begin(), repeated.end());
+    fingerprints.resize(std::min(fingerprints.size(), kMaxListed));
+    std::string text;
+    std::ranges::for_each(fingerprints, [&text](Fingerprint each) {
+      text += (text.empty() ? "" : " ") + ToText(each);
+    });
+    return text;
+  };
+  std::vector<Fingerprint> suspected;
+  std::ranges::transform(suspicions, std::back_inserter(suspected),
+                         &Suspicion::fingerprint);
+  std::vector<Fingerprint> passed_over;
+  std::ranges::copy_if(
+      running, std::back_inserter(passed_over), [&suspected](Fingerprint each) {
+        return std::ranges::find(suspected, each) == suspected.end();
+      });
+  this->log("suspects", {{"start", backend_start},
+                         {"running", static_cast<std::int64_t>(running.size())},
+                         {"suspected", list(suspected)},
+                         {"passed_over", list(passed_over)}});
+}
+
 // Leases --------------------------------------------------------------------
 
 SuspectState SuspectHost::StateOf(Fingerprint fingerprint) {
@@ -355,13 +395,21 @@
   request.__set_tell(ToTell(suspicions));
   const std::string bytes = Encode(request);
   std::vector<boost::fibers::fiber> pending;
+  std::string unanswered;
   for (const NodeId& node : this->service_peers) {
-    pending.emplace_back([this, node, &bytes] {
-      (void)this->peers.Request(node, Channel::kSuspects, bytes,
-                                kBroadcastRequestTimeout);
+    pending.emplace_back([this, node, &bytes, &unanswered] {
+      if (!this->peers.Request(node, Channel::kSuspects, bytes,
+                               kBroadcastRequestTimeout)) {
+        unanswered += (unanswered.empty() ? "" : " ") + node.value;
+      }
     });
   }
   std::ranges::for_each(pending, [](auto& wait) { wait.join(); });
+  if (!unanswered.empty()) {
+    this->log("news of suspects unanswered",
+              {{"nodes", unanswered},
+               {"suspects", static_cast<std::int64_t>(suspicions.size())}});
+  }
 }
 
 void SuspectHost::UpdateSuspectCount() {
--- a/src/node/suspect_host.h
+++ b/src/node/suspect_host.h
@@ -27,11 +27,14 @@
 
 #include <atomic>
 #include <cstddef>
+#include <functional>
+#include <initializer_list>
 #include <mutex>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "src/adapters/event_log.h"
 #include "src/adapters/fiber_io.h"
 #include "tanagerledge/member.h"
 #include "tanagerledge/ports.h"
@@ -55,6 +58,12 @@
  public:
   SuspectHost(IoLoop& control, PeerPort& peers, NodeId self);
 
+  // Sets the function that logs what this node suspects, clears and could not
+  // tell a peer. It is called from any thread. Set it before Start.
+  using EventSink = std::function<void(std::string_view event,
+                                       std::initializer_list<EventField>)>;
+  void SetEventSink(EventSink event_sink);
+
   // Starts the fiber that removes expired entries. Called on the control
   // thread.
   void Start();
@@ -110,11 +119,15 @@
   NodeId HomeOf(Fingerprint fingerprint) const;
   void ReturnLease(Fingerprint fingerprint);
   void Broadcast(std::vector<Suspicion> suspicions);
+  void LogDeath(std::string_view backend_start,
+                const std::vector<Fingerprint>& running,
+                const std::vector<Suspicion>& suspicions) const;
   void UpdateSuspectCount();
 
   IoLoop& control;
   PeerPort& peers;
   const NodeId self;
+  EventSink log = [](auto, auto) {};
   // The nodes that serve the same service, without this node.
   std::vector<NodeId> service_peers;
   bool asking_for_quarantines = false;
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -213,6 +213,16 @@
   SuspectVerdict verdict =
       this->suspects.Admit(call->fingerprint, call->deadline);
   wire::CallReply reply = this->RunAdmitted(*call, verdict);
+  if (verdict == SuspectVerdict::kRunLeased) {
+    this->events.Write(
+        "suspect ran",
+        {{"id", request.attempt_id},
+         {"fingerprint", ToText(call->fingerprint)},
+         {"reason", ToText(ReasonOf(reply))},
+         {"status", static_cast<std::int64_t>(reply.status)},
+         {"left_ms",
+          duration_cast<milliseconds>(call->deadline - Now()).count()}});
+  }
   if (OutcomeOf(reply) == Outcome::kOk) {
     this->suspects.OnCallAnswered(call->fingerprint, verdict);
   } else if (OutcomeOf(reply) == Outcome::kNotRun) {
@@ -226,14 +236,18 @@
   const wire::CallRequest& request = *call.request;
   const auto suspect_refusal = [&]() -> std::optional<wire::CallReply> {
     if (verdict == SuspectVerdict::kRefuse) {
-      this->events.Write("quarantined", {{"id", request.attempt_id},
-                                         {"route", request.route}});
+      this->events.Write("quarantined",
+                         {{"id", request.attempt_id},
+                          {"route", request.route},
+                          {"fingerprint", ToText(call.fingerprint)}});
       return NotRun(Reason::kQuarantined,
                     "backend servers died running this request");
     }
     if (verdict == SuspectVerdict::kNoLease) {
-      this->events.Write("suspect without lease", {{"id", request.attempt_id},
-                                                   {"route", request.route}});
+      this->events.Write("suspect without lease",
+                         {{"id", request.attempt_id},
+                          {"route", request.route},
+                          {"fingerprint", ToText(call.fingerprint)}});
       return NotRun(Reason::kQuarantined,
                     "a backend server died running this request");
     }
@@ -421,6 +435,7 @@
       "no answer",
       {{"id", call.request->attempt_id},
        {"instance", call.instance},
+       {"fingerprint", ToText(call.fingerprint)},
        {"may_have_run", std::int64_t{error.may_have_arrived}},
        {"left_ms", duration_cast<milliseconds>(call.deadline - Now()).count()},
        {"error", error.text}});
@@ -469,7 +484,13 @@
     this->death_rechecked = !this->death_rechecked;
     this->next_death_check = now + (this->death_rechecked ? kDeathCheckInterval
                                                           : kDeathRecheckDelay);
-    if (!this->HasListeningBackend()) {
+    const bool listening = this->HasListeningBackend();
+    this->events.Write(
+        "back end checked",
+        {{"instance", newest.instance},
+         {"listening", std::int64_t{listening}},
+         {"lost_calls", static_cast<std::int64_t>(this->lost_calls.size())}});
+    if (!listening) {
       this->life.OnDied(newest.instance);
       this->death_rechecked = true;
       this->ReportDeathOf(newest);
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -252,6 +252,10 @@
       [this](const NodeId& from, std::int64_t digest) {
         this->suspects.OnPeerDigest(from, digest);
       });
+  this->suspects.SetEventSink(
+      [this](std::string_view event, std::initializer_list<EventField> fields) {
+        this->events.Write(event, fields);
+      });
   this->entry.SetBehindCheck([this] { return this->configs.IsBehind(); });
   this->RegisterMetrics();
 }
