Tests of crashing requests that stay unsuspected; KNOWN-RED

- a request that was answered once before it crashes backend servers, with another call beside it at each death, is clear after three deaths, at one node and at three;

--- a/tests/execution/suspects_test.cc
+++ b/tests/execution/suspects_test.cc
@@ -366,6 +366,46 @@
       << "nothing else can have been the cause";
 }
 
+// A request may be answered before it begins to crash backend servers. The
+// platform allows three of them to end.
+TEST_F(SuspectsTest, RequestAnsweredBeforeItCrashes_IsQuarantined) {
+  constexpr int kMaxDeaths = 3;
+  this->table.OnRanSafely(this->crashing, this->now);
+  for (int death = 0; death < kMaxDeaths; ++death) {
+    const Fingerprint beside{static_cast<std::uint64_t>(100 + death)};
+    this->table.OnBackendDied(this->self, std::to_string(death),
+                              {this->crashing, beside}, this->now);
+    this->now += milliseconds(800);
+  }
+  EXPECT_EQ(this->table.GetState(this->crashing, this->now),
+            SuspectState::kQuarantined);
+}
+
+// The same at nodes that have each answered the request.
+TEST_F(SuspectsTest, RequestAnsweredByAllNodesBeforeItCrashes_IsQuarantined) {
+  constexpr int kMaxDeaths = 3;
+  std::array<SuspectTable, kMaxDeaths> tables;
+  for (SuspectTable& each : tables) {
+    each.OnRanSafely(this->crashing, this->now);
+  }
+  for (int death = 0; death < kMaxDeaths; ++death) {
+    const Fingerprint beside{static_cast<std::uint64_t>(100 + death)};
+    const auto news = tables[death].OnBackendDied(
+        {std::to_string(death)}, std::to_string(death),
+        {this->crashing, beside}, this->now);
+    for (SuspectTable& each : tables) {
+      std::ranges::for_each(news, [&](const Suspicion& suspicion) {
+        each.OnSuspicion(suspicion, this->now);
+      });
+    }
+    this->now += milliseconds(800);
+  }
+  for (const SuspectTable& each : tables) {
+    EXPECT_EQ(each.GetState(this->crashing, this->now),
+              SuspectState::kQuarantined);
+  }
+}
+
 // Guards against a failure found by `./run prove`: a call whose connection to
 // the dead backend server was refused reported the same death once more. Only
 // answered calls were left to report, so they became suspects, and with the
--- a/tests/node/call_path_test.cc
+++ b/tests/node/call_path_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
@@ -258,6 +259,68 @@
   loop.Join();
 }
 
+// An error may be the answer of a run that ended before it could crash the
+// backend server: the request still ends no more than two of them.
+TEST_F(CallPathTest, CrashingRequestAnsweredWithErrors_IsQuarantined) {
+  using Parts = std::vector<ScriptedBackend::Part>;
+  constexpr int kMaxDeaths = 2;
+  int deaths = 0;
+  std::atomic<bool> fails{true};
+  std::atomic<bool> crashes{false};
+  IoLoop loop;
+  std::vector<std::unique_ptr<ScriptedBackend>> backends;
+  const auto serve = [&](const HttpRequest& request, int) -> Parts {
+    if (request.target != "/claim") {
+      return {{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}};
+    }
+    if (fails) {
+      return {{"HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 0\r\n\r\n"}};
+    }
+    crashes = true;
+    return {{"", milliseconds(1000)}};
+  };
+  loop.Start();
+  this->mesh.Publish(kNote);
+  this->entry = this->mesh.AddNode({});
+  for (int start = 0; start <= kMaxDeaths; ++start) {
+    backends.push_back(std::make_unique<ScriptedBackend>(loop, serve));
+    HttpRequest announcement;
+    announcement.method = "POST";
+    announcement.target = "/announce";
+    announcement.body =
+        nlohmann::json{
+            {"service", "claims"}, {"address", backends.back()->address()},
+            {"slots", 4},          {"connections", 8},
+            {"state", "ready"},    {"instance", std::to_string(start)}}
+            .dump();
+    ASSERT_EQ(
+        this->mesh.Send(this->mesh.admin_address(0), announcement)->status,
+        200);
+    ASSERT_TRUE(this->mesh.AwaitServed(this->entry, "/read"));
+    fails = true;
+    this->Call("POST", "/claim");
+    fails = false;
+    crashes = false;
+    loop.Spawn([&, backend = backends.back().get()] {
+      while (!crashes && !fails) {
+        loop.SleepFor(milliseconds(1));
+      }
+      if (crashes) {
+        backend->Close();
+      }
+    });
+    this->Call("POST", "/claim");
+    deaths += crashes ? 1 : 0;
+    fails = true;
+  }
+  EXPECT_LE(deaths, kMaxDeaths);
+  loop.Spawn([&] {
+    backends.back()->Close();
+    loop.Stop();
+  });
+  loop.Join();
+}
+
 TEST_F(CallPathTest, NoRouteMatches_OutcomeIsNotRun) {
   this->StartServing();
   const HttpResponse response = this->Call("GET", "/elsewhere");
--- a/tests/sidecar/backend_gateway_test.cc
+++ b/tests/sidecar/backend_gateway_test.cc
@@ -203,6 +203,51 @@
       });
 }
 
+// An error may be the answer of a run that its deadline, or a call of its own,
+// ended before it could crash the backend server.
+TEST_F(BackendGatewayTest, SuspectAnsweredWithServerError_StaysSuspect) {
+  const Fingerprint suspect = FingerprintOf({""}, "POST", "/x/1", "");
+  this->RunWithBackend(
+      [](const HttpRequest& request, int) -> std::vector<Part> {
+        const std::string id(request.Header("X-Attempt-Id"));
+        const std::string status =
+            id == "a-1" ? "504 Gateway Timeout" : "500 Internal Server Error";
+        return {{Answer(status + "\r\nX-Server-Stamp: s", id)}};
+      },
+      [&] {
+        this->suspects.ReportBackendDeath("i-1", {suspect});
+        for (const auto* id : {"a-1", "a-2"}) {
+          EXPECT_EQ(ToText(OutcomeOf(this->Call(id))), ToText(Outcome::kOk));
+          const SuspectVerdict verdict =
+              this->suspects.Admit(suspect, Now() + kCallTimeout / 4);
+          EXPECT_EQ(verdict, SuspectVerdict::kRunLeased) << id;
+          this->suspects.OnNotRun(suspect, verdict);
+        }
+      });
+}
+
+// A node runs one suspect at a time, so an answer that is lost must not keep
+// the others waiting.
+TEST_F(BackendGatewayTest, SuspectsAnswerIsLost_NextSuspectRunsAtOnce) {
+  this->RunWithBackend(
+      [](const HttpRequest& request, int) -> std::vector<Part> {
+        const std::string id(request.Header("X-Attempt-Id"));
+        return id == "a-1" ? std::vector<Part>{{"HTTP/1.1 200 OK\r\n\0"}}
+                           : std::vector<Part>{{Success(id)}};
+      },
+      [&] {
+        this->suspects.ReportBackendDeath(
+            "i-1", {FingerprintOf({""}, "POST", "/x/1", "")});
+        boost::fibers::fiber lost([&] { this->Call("a-1"); });
+        this->loop.SleepFor(kCallTimeout / 8);
+        this->backend->CloseConnections();
+        lost.join();
+        const Instant asked = Now();
+        ExpectRan(this->Call("a-2"), "a-2");
+        EXPECT_LT(Now() - asked, kCallTimeout / 4);
+      });
+}
+
 // Only one suspect request runs at a time, so the second one waits.
 TEST_F(BackendGatewayTest, SuspectQueuedAtEndOfStop_IsRejectedAsNotRun) {
   this->RunWithBackend(
