Suspects: only a run to its end clears a request

Cause: how a run under suspicion ended was sorted in two, answered or not run. A 504 at the deadline and a 500 of a failed call of its own counted as answered, so they cleared the request on all nodes and kept this node from suspecting it for 10 to 20 s. A crash comes at the end of the work, and a suspect waits for its lease until little time is left, so such a run is the likely one. A run whose answer was lost, or whose caller left, counted as neither: it kept its lease and the node's only place for a suspect until its deadline.

Now a run clears the request if it was answered with less than 500; any other end gives the lease back and proves nothing. A place is released only by its holder, since a death may have passed it on. Both call paths.

--- a/include/tanagerledge/suspects.h
+++ b/include/tanagerledge/suspects.h
@@ -126,9 +126,10 @@
   std::uint64_t QuarantineDigest(Instant now) const;
 
   // Acquire and release the only slot for a suspect on this node's backend
-  // server. The slot is released at `until` at the latest.
+  // server. The slot is released at `until` at the latest. Releasing the slot
+  // of another suspect has no effect.
   bool TryAcquireLocalSlot(Fingerprint suspect, Instant now, Instant until);
-  void ReleaseLocalSlot();
+  void ReleaseLocalSlot(Fingerprint suspect);
 
   // Removes expired entries. Call it about once a second.
   void Expire(Instant now);
--- a/src/execution/suspects.cc
+++ b/src/execution/suspects.cc
@@ -88,8 +88,10 @@
   return true;
 }
 
-void SuspectTable::ReleaseLocalSlot() {
-  this->local_slot.reset();
+void SuspectTable::ReleaseLocalSlot(Fingerprint suspect) {
+  if (this->local_slot && this->local_slot->suspect == suspect) {
+    this->local_slot.reset();
+  }
 }
 
 // Events --------------------------------------------------------------------
@@ -110,8 +112,11 @@
   if (!std::ranges::all_of(death.calls, is_harmless)) {
     std::erase_if(distinct, is_harmless);
   }
-  if (this->local_slot && death.calls.contains(this->local_slot->suspect)) {
+  if (this->local_slot &&
+      std::ranges::find(distinct, this->local_slot->suspect) !=
+          distinct.end()) {
     death.leased = this->local_slot->suspect;
+    this->local_slot.reset();
   }
   std::vector<Suspicion> suspicions;
   for (const Fingerprint fingerprint : distinct) {
@@ -126,7 +131,6 @@
     entry.expires = now + this->TtlOf(entry);
     suspicions.push_back({fingerprint, deaths, false, self});
   }
-  this->ReleaseLocalSlot();
   return suspicions;
 }
 
--- a/src/node/executor.cc
+++ b/src/node/executor.cc
@@ -105,15 +105,15 @@
   }
   const Reason refusal = this->AwaitSlot(call);
   if (refusal != Reason::kNone) {
-    this->suspects.OnNotRun(call.fingerprint, call.suspect);
+    this->suspects.OnCallUnproven(call.fingerprint, call.suspect);
     return refuse(refusal, "refused by the back end's node");
   }
   call.suspect = this->suspects.Recheck(call.fingerprint, call.suspect);
   auto suspect_refusal = this->RefuseSuspect(call);
   wire::CallReply reply =
       suspect_refusal ? std::move(*suspect_refusal) : this->RunOnce(link, call);
-  if (OutcomeOf(reply) == Outcome::kNotRun) {
-    this->suspects.OnNotRun(call.fingerprint, call.suspect);
+  if (call.finish != FinishKind::kOk) {
+    this->suspects.OnCallUnproven(call.fingerprint, call.suspect);
   }
   this->ReleaseSlot(call, call.finish);
   return reply;
@@ -213,7 +213,6 @@
             : Reason::kBackendRefused;
     return MakeReply(Outcome::kNotRun, reason, "the back end did not run it");
   }
-  this->suspects.OnCallAnswered(call.fingerprint, call.suspect);
   wire::CallReply reply = MakeReply(Outcome::kOk, Reason::kNone, "");
   reply.status = answer->status;
   reply.body = answer->body;
@@ -228,6 +227,9 @@
     }
   }
   call.finish = FinishKindOf(reply);
+  if (call.finish == FinishKind::kOk) {
+    this->suspects.OnCallAnswered(call.fingerprint, call.suspect);
+  }
   return reply;
 }
 
--- a/src/node/suspect_host.cc
+++ b/src/node/suspect_host.cc
@@ -206,13 +206,14 @@
              : verdict;
 }
 
-void SuspectHost::OnNotRun(Fingerprint fingerprint, SuspectVerdict verdict) {
+void SuspectHost::OnCallUnproven(Fingerprint fingerprint,
+                                 SuspectVerdict verdict) {
   if (verdict != SuspectVerdict::kRunLeased) {
     return;
   }
   {
     const std::scoped_lock lock(this->mutex);
-    this->table.ReleaseLocalSlot();
+    this->table.ReleaseLocalSlot(fingerprint);
   }
   this->control.Spawn([this, fingerprint] { this->ReturnLease(fingerprint); });
 }
@@ -223,7 +224,7 @@
   {
     const std::scoped_lock lock(this->mutex);
     if (verdict == SuspectVerdict::kRunLeased) {
-      this->table.ReleaseLocalSlot();
+      this->table.ReleaseLocalSlot(fingerprint);
     }
     suspicion = this->table.OnRanSafely(fingerprint, Now());
     this->UpdateSuspectCount();
@@ -331,7 +332,7 @@
     return true;
   }
   const std::scoped_lock lock(this->mutex);
-  this->table.ReleaseLocalSlot();
+  this->table.ReleaseLocalSlot(fingerprint);
   if (answer == LeaseAnswer::kRefused) {
     this->table.OnSuspicion({fingerprint, kQuarantineDeaths, false, this->self},
                             Now());
--- a/src/node/suspect_host.h
+++ b/src/node/suspect_host.h
@@ -10,9 +10,8 @@
 //   ... wait for a slot ...
 //   verdict = suspects.Recheck(fingerprint, verdict);  // As above.
 //   ... send ...
-//   suspects.OnCallAnswered(fingerprint, verdict);  // It ran, and its backend
-//                                                   // server lives, or
-//   suspects.OnNotRun(fingerprint, verdict);
+//   suspects.OnCallAnswered(fingerprint, verdict);  // It ran to its end, or
+//   suspects.OnCallUnproven(fingerprint, verdict);
 //
 // When the backend server dies, call ReportBackendDeath with the calls that ran
 // on it, and only then answer their callers. It returns when the peers have
@@ -88,12 +87,14 @@
   // the current one; waits only briefly for a lease. Called from any fiber.
   SuspectVerdict Recheck(Fingerprint fingerprint, SuspectVerdict verdict);
 
-  // Reports that the backend server ran and answered a call, which clears it.
+  // Reports that the backend server ran a call to its end, which clears it.
   // Called from any fiber.
   void OnCallAnswered(Fingerprint fingerprint, SuspectVerdict verdict);
-  // Reports that a call did not run after all: gives its lease back. Called
-  // from any fiber.
-  void OnNotRun(Fingerprint fingerprint, SuspectVerdict verdict);
+  // Reports that a call has ended in another way, which proves nothing: it did
+  // not run, its answer was lost, or the backend server answered with an error,
+  // perhaps because its deadline or a call of its own ended the run early.
+  // Gives its lease back. Called from any fiber.
+  void OnCallUnproven(Fingerprint fingerprint, SuspectVerdict verdict);
 
   // Reports that this node's backend server died while it ran these calls, and
   // broadcasts them as suspects. `backend_start` names this start of the
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -223,10 +223,10 @@
          {"left_ms",
           duration_cast<milliseconds>(call->deadline - Now()).count()}});
   }
-  if (OutcomeOf(reply) == Outcome::kOk) {
+  if (FinishKindOf(reply) == FinishKind::kOk) {
     this->suspects.OnCallAnswered(call->fingerprint, verdict);
-  } else if (OutcomeOf(reply) == Outcome::kNotRun) {
-    this->suspects.OnNotRun(call->fingerprint, verdict);
+  } else {
+    this->suspects.OnCallUnproven(call->fingerprint, verdict);
   }
   return reply;
 }
--- a/tests/execution/suspects_test.cc
+++ b/tests/execution/suspects_test.cc
@@ -156,7 +156,7 @@
     if (!this->Lease(node, call)) {
       return false;
     }
-    this->tables[node].ReleaseLocalSlot();
+    this->tables[node].ReleaseLocalSlot(call);
     const auto suspicion = this->tables[node].OnRanSafely(call, this->now);
     this->Broadcast({*suspicion});
     return true;
--- a/tests/sidecar/backend_gateway_test.cc
+++ b/tests/sidecar/backend_gateway_test.cc
@@ -221,7 +221,7 @@
           const SuspectVerdict verdict =
               this->suspects.Admit(suspect, Now() + kCallTimeout / 4);
           EXPECT_EQ(verdict, SuspectVerdict::kRunLeased) << id;
-          this->suspects.OnNotRun(suspect, verdict);
+          this->suspects.OnCallUnproven(suspect, verdict);
         }
       });
 }
