--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -35,6 +35,8 @@
 // so that nodes know of a death before its callers send again.
 constexpr milliseconds kMaxDeathCheckWait{60};
 constexpr milliseconds kDeathCheckPoll{5};
+// The same for a suspect, whose next run must not begin before.
+constexpr milliseconds kMaxSuspectCheckWait{200};
 // How long calls whose connection was lost are kept: the death of the backend
 // server may be detected this long after it.
 constexpr milliseconds kLostCallRetention{1000};
@@ -275,6 +277,7 @@
     reply = NotRun(Reason::kNoEndpoint, "the backend server left meanwhile");
   } else {
     const Instant sent = Now();
+    call.leased = verdict == SuspectVerdict::kRunLeased;
     reply = this->SendToBackend(call);
     reply.execution_us = duration_cast<microseconds>(Now() - sent).count();
     this->throttle.OnFinished(request.route, call.nested_call_rejected);
@@ -452,15 +455,25 @@
 
 void BackendGateway::OnConnectionLost(const Call& call) {
   this->lost_calls.push_back(
-      {call.fingerprint, call.instance, call.born_ms, Now()});
-  const Instant until = Now() + kMaxDeathCheckWait;
+      {call.fingerprint, call.instance, call.born_ms, Now(), call.leased});
+  const Instant until =
+      Now() + (call.leased ? kMaxSuspectCheckWait : kMaxDeathCheckWait);
+  const auto must_wait = [this, &call] {
+    return call.leased ? this->HasUncheckedSuspect() : !this->death_rechecked;
+  };
   this->DetectBackendDeath();
-  while (!this->death_rechecked && Now() < until && !this->aborting &&
+  while (must_wait() && Now() < until && !this->aborting &&
          this->loop.SleepFor(kDeathCheckPoll)) {
     this->DetectBackendDeath();
   }
 }
 
+bool BackendGateway::HasUncheckedSuspect() const {
+  return std::ranges::any_of(this->lost_calls, [](const LostCall& lost) {
+    return lost.leased && lost.checks < kDeathChecks;
+  });
+}
+
 // Finds out whether the backend server at which calls were lost has died: it no
 // longer listens, or another start has taken its place. A dying process may
 // close its connections before its listener, so a later tick checks again.
@@ -479,8 +492,12 @@
       [this](const LostCall& lost) { return this->IsReplaced(lost); });
   if (replaced != this->lost_calls.end()) {
     this->ReportDeathOf(*replaced);
-  } else if (!this->lost_calls.empty() && now >= this->next_death_check) {
+  } else if (!this->lost_calls.empty() &&
+             (now >= this->next_death_check ||
+              (this->HasUncheckedSuspect() &&
+               now >= this->last_death_check + kDeathRecheckDelay))) {
     const LostCall newest = this->lost_calls.back();
+    this->last_death_check = now;
     this->death_rechecked = !this->death_rechecked;
     this->next_death_check = now + (this->death_rechecked ? kDeathCheckInterval
                                                           : kDeathRecheckDelay);
--- a/src/sidecar/backend_gateway.h
+++ b/src/sidecar/backend_gateway.h
@@ -124,6 +124,7 @@
     // The start of the backend server that the call was sent to.
     std::string instance;
     std::int64_t born_ms = 0;
+    bool leased = false;  // Runs as a suspect.
   };
   using CallPtr = std::shared_ptr<Call>;
   // A call whose connection to the backend server was lost. It may be the cause
@@ -133,6 +134,8 @@
     std::string instance;
     std::int64_t born_ms = 0;
     Instant lost_at{};
+    // Held a lease, which is given back once the checks have their result.
+    bool leased = false;
     int checks = 0;  // Checks that found a listening backend server since.
   };
   // Identifies a send: the node that it comes from and that node's send id.
@@ -150,6 +153,7 @@
   void OnConnectionLost(const Call& call);
   void DetectBackendDeath();
   bool HasListeningBackend();
+  bool HasUncheckedSuspect() const;
   bool IsReplaced(const LostCall& lost) const;
   void ReportDeathOf(LostCall lost);
   bool IsServing(const ServiceName& service, Instant now) const;
@@ -175,6 +179,7 @@
   bool aborting = false;
   std::vector<LostCall> lost_calls;
   bool checking_death = false;
+  Instant last_death_check{};
   Instant next_death_check{};
   bool death_rechecked = true;  // The last check was the second of a pair.
 };
