Suspects: an old answer excuses a request only while another call explains as much

Cause: a call answered in the last 10 to 20 s was not suspected whenever one call beside it had not been answered. Nothing that happened later outweighed the old answer, and each node had its own.

Now the deaths that a call was in flight at are counted for it in any case, and told to the other nodes (SuspectNews.excused, optional, so that older nodes read the rest). One is excused only if a call beside it that was not answered lately was in flight at as many. Equal lookups are answered between two deaths, which sets them to zero as before.

Before: the request is clear after three deaths, at one node and at three. CallAnsweredLately_ asserts states in place of the number of suspicions sent, which now include the excused one: as strict.

--- a/idl/execution.thrift
+++ b/idl/execution.thrift
@@ -29,6 +29,8 @@
   4: string node
   /** How long the sender keeps a quarantine. */
   5: optional i64 ttl_ms
+  /** Further deaths that are not held against the call. */
+  6: optional i32 excused
 }
 
 struct SuspectTell {
--- a/include/tanagerledge/suspects.h
+++ b/include/tanagerledge/suspects.h
@@ -58,6 +58,9 @@
   NodeId node;  // The node whose backend server died.
   // How long the sender keeps a quarantine; 0: as long as a new one.
   std::chrono::milliseconds ttl{0};
+  // Number of further deaths, counted alike, that are not held against the
+  // call, because another one was the likely cause.
+  int excused = 0;
 
   bool operator==(const Suspicion&) const = default;
 };
@@ -74,8 +77,9 @@
   // Maximum number of entries. When the table is full, the entry that expires
   // first is evicted.
   std::size_t max_entries = 4096;
-  // A call that was answered at most twice this long ago is not suspected while
-  // others ran beside it. Repeats of one call run at the same time.
+  // A death is not held against a call that was answered at most twice this
+  // long ago, if one beside it was not, and has been in flight at as many
+  // deaths. Repeats of one call run at the same time.
   std::chrono::seconds harmless_ttl{10};
   std::size_t max_harmless = 4096;
 };
@@ -147,13 +151,17 @@
   struct DeathsAt {
     NodeId node;
     int count = 0;
+    int excused = 0;
   };
 
   struct Entry {
-    std::vector<DeathsAt> deaths_at;  // At most `quarantine_deaths` nodes.
+    std::vector<DeathsAt> deaths_at;
     int Deaths() const;
-    int& DeathsOf(const NodeId& node);
+    int DeathsWithExcused() const;
+    DeathsAt& DeathsOf(const NodeId& node);
 
+    // Known only from a request for its lease.
+    bool suspected_elsewhere = false;
     Instant expires{};
     std::optional<Lease> lease;
   };
@@ -161,7 +169,8 @@
   // A death that was reported, with all calls reported to have run there.
   struct ReportedDeath {
     std::string backend_start;
-    std::unordered_set<Fingerprint> calls;
+    // With the number of earlier deaths that each was in flight at.
+    std::unordered_map<Fingerprint, int> calls;
     std::optional<Fingerprint> leased;  // The suspect that held the local slot.
   };
   struct LocalSlot {
@@ -180,6 +189,8 @@
            this->former_harmless.contains(fingerprint);
   }
   void RecordHarmless(Fingerprint fingerprint, Instant now);
+  int DeathsBefore(Fingerprint fingerprint, Instant now) const;
+  bool IsExcused(const ReportedDeath& death, Fingerprint fingerprint) const;
   void Clear(Fingerprint fingerprint, int deaths);
   Entry& FindOrCreate(Fingerprint fingerprint, Instant now);
   std::chrono::seconds TtlOf(const Entry& entry) const;
--- a/src/execution/suspects.cc
+++ b/src/execution/suspects.cc
@@ -47,9 +47,13 @@
   if (found == this->entries.end() || found->second.expires <= now) {
     return SuspectState::kClear;
   }
-  return found->second.Deaths() >= this->config.quarantine_deaths
-             ? SuspectState::kQuarantined
-             : SuspectState::kSuspect;
+  const Entry& entry = found->second;
+  if (entry.Deaths() >= this->config.quarantine_deaths) {
+    return SuspectState::kQuarantined;
+  }
+  return entry.Deaths() > 0 || entry.suspected_elsewhere
+             ? SuspectState::kSuspect
+             : SuspectState::kClear;
 }
 
 LeaseAnswer SuspectTable::OnLeaseRequest(Fingerprint fingerprint,
@@ -62,6 +66,7 @@
   // A home node that does not know the suspect yet trusts the node that
   // requests the lease.
   Entry& entry = this->FindOrCreate(fingerprint, now);
+  entry.suspected_elsewhere = true;
   if (entry.lease && entry.lease->until > now) {
     return LeaseAnswer::kBusy;
   }
@@ -104,14 +109,9 @@
   ReportedDeath& death = this->FindOrAddDeath(backend_start);
   std::vector<Fingerprint> distinct;
   std::ranges::copy_if(
-      running, std::back_inserter(distinct),
-      [&death](Fingerprint each) { return death.calls.insert(each).second; });
-  const auto is_harmless = [this](Fingerprint each) {
-    return this->IsHarmless(each);
-  };
-  if (!std::ranges::all_of(death.calls, is_harmless)) {
-    std::erase_if(distinct, is_harmless);
-  }
+      running, std::back_inserter(distinct), [&](Fingerprint each) {
+        return death.calls.emplace(each, this->DeathsBefore(each, now)).second;
+      });
   if (this->local_slot &&
       std::ranges::find(distinct, this->local_slot->suspect) !=
           distinct.end()) {
@@ -125,11 +125,12 @@
       entry.expires = now + this->TtlOf(entry);
       continue;
     }
-    int& deaths = entry.DeathsOf(self);
-    ++deaths;
+    DeathsAt& deaths = entry.DeathsOf(self);
+    ++(this->IsExcused(death, fingerprint) ? deaths.excused : deaths.count);
     entry.lease.reset();
     entry.expires = now + this->TtlOf(entry);
-    suspicions.push_back({fingerprint, deaths, false, self});
+    suspicions.push_back({fingerprint, deaths.count, false, self,
+                          std::chrono::milliseconds(0), deaths.excused});
   }
   return suspicions;
 }
@@ -149,6 +150,24 @@
       ReportedDeath{std::string(backend_start), {}, std::nullopt});
 }
 
+int SuspectTable::DeathsBefore(Fingerprint fingerprint, Instant now) const {
+  const auto found = this->entries.find(fingerprint);
+  return found != this->entries.end() && found->second.expires > now
+             ? found->second.DeathsWithExcused()
+             : 0;
+}
+
+// A call that was answered lately is excused while another one explains all
+// deaths that it was in flight at.
+bool SuspectTable::IsExcused(const ReportedDeath& death,
+                             Fingerprint fingerprint) const {
+  const int deaths = death.calls.at(fingerprint);
+  return this->IsHarmless(fingerprint) &&
+         std::ranges::any_of(death.calls, [&](const auto& call) {
+           return !this->IsHarmless(call.first) && call.second >= deaths;
+         });
+}
+
 std::optional<Suspicion> SuspectTable::OnRanSafely(Fingerprint fingerprint,
                                                    Instant now) {
   this->RecordHarmless(fingerprint, now);
@@ -157,7 +176,8 @@
       found->second.Deaths() >= this->config.quarantine_deaths) {
     return std::nullopt;
   }
-  const Suspicion suspicion{fingerprint, found->second.Deaths(), true, {}};
+  const Suspicion suspicion{
+      fingerprint, found->second.DeathsWithExcused(), true, {}};
   this->OnSuspicion(suspicion, now);
   return suspicion;
 }
@@ -166,13 +186,14 @@
   const int deaths =
       std::clamp(suspicion.deaths, 0, this->config.quarantine_deaths);
   if (suspicion.cleared) {
-    this->Clear(suspicion.fingerprint, deaths);
+    this->Clear(suspicion.fingerprint, suspicion.deaths + suspicion.excused);
     return;
   }
   Entry& entry = this->FindOrCreate(suspicion.fingerprint, now);
   if (entry.Deaths() < this->config.quarantine_deaths) {
-    int& known = entry.DeathsOf(suspicion.node);
-    known = std::max(known, deaths);
+    DeathsAt& known = entry.DeathsOf(suspicion.node);
+    known.count = std::max(known.count, deaths);
+    known.excused = std::max(known.excused, suspicion.excused);
   }
   const std::chrono::milliseconds ttl = this->TtlOf(entry);
   entry.expires = std::max(
@@ -231,7 +252,8 @@
 // The node that cleared the call knew only of `deaths` deaths.
 void SuspectTable::Clear(Fingerprint fingerprint, int deaths) {
   const auto found = this->entries.find(fingerprint);
-  if (found != this->entries.end() && found->second.Deaths() <= deaths &&
+  if (found != this->entries.end() &&
+      found->second.DeathsWithExcused() <= deaths &&
       found->second.Deaths() < this->config.quarantine_deaths) {
     this->entries.erase(found);
   }
@@ -248,11 +270,22 @@
       [](int sum, const DeathsAt& at) { return sum + at.count; });
 }
 
-int& SuspectTable::Entry::DeathsOf(const NodeId& node) {
+int SuspectTable::Entry::DeathsWithExcused() const {
+  return std::accumulate(
+      this->deaths_at.begin(), this->deaths_at.end(), 0,
+      [](int sum, const DeathsAt& at) { return sum + at.count + at.excused; });
+}
+
+// Beyond kMaxNodesPerEntry, deaths are counted for the last node added.
+SuspectTable::DeathsAt& SuspectTable::Entry::DeathsOf(const NodeId& node) {
+  constexpr std::size_t kMaxNodesPerEntry = 16;
   const auto found = std::ranges::find(this->deaths_at, node, &DeathsAt::node);
-  return found != this->deaths_at.end()
-             ? found->count
-             : this->deaths_at.emplace_back(DeathsAt{node, 0}).count;
+  if (found != this->deaths_at.end()) {
+    return *found;
+  }
+  return this->deaths_at.size() < kMaxNodesPerEntry
+             ? this->deaths_at.emplace_back(DeathsAt{node, 0, 0})
+             : this->deaths_at.back();
 }
 
 // Entries -------------------------------------------------------------------
--- a/src/node/suspect_host.cc
+++ b/src/node/suspect_host.cc
@@ -31,6 +31,8 @@
 // quarantined. Greater than the death limit of any node, so that it is
 // quarantined here too.
 constexpr int kQuarantineDeaths = 1000;
+// More than any node excuses.
+constexpr int kMaxExcusedDeaths = 1000;
 
 microseconds TimeLeft(Instant deadline) {
   const auto left = std::chrono::duration_cast<microseconds>(deadline - Now());
@@ -46,6 +48,9 @@
   if (suspicion.ttl.count() > 0) {
     news.__set_ttl_ms(suspicion.ttl.count());
   }
+  if (suspicion.excused > 0) {
+    news.__set_excused(suspicion.excused);
+  }
   return news;
 }
 
@@ -54,7 +59,8 @@
           news.deaths,
           news.cleared,
           {news.node},
-          milliseconds(std::max<std::int64_t>(0, news.ttl_ms))};
+          milliseconds(std::max<std::int64_t>(0, news.ttl_ms)),
+          std::clamp(news.excused, 0, kMaxExcusedDeaths)};
 }
 
 wire::SuspectTell ToTell(const std::vector<Suspicion>& suspicions) {
@@ -276,13 +282,13 @@
     return text;
   };
   std::vector<Fingerprint> suspected;
-  std::ranges::transform(suspicions, std::back_inserter(suspected),
-                         &Suspicion::fingerprint);
   std::vector<Fingerprint> passed_over;
-  std::ranges::copy_if(
-      running, std::back_inserter(passed_over), [&suspected](Fingerprint each) {
-        return std::ranges::find(suspected, each) == suspected.end();
-      });
+  std::ranges::for_each(running, [&](Fingerprint each) {
+    const auto found =
+        std::ranges::find(suspicions, each, &Suspicion::fingerprint);
+    const bool charged = found != suspicions.end() && found->deaths > 0;
+    (charged ? suspected : passed_over).push_back(each);
+  });
   this->log("suspects", {{"start", backend_start},
                          {"running", static_cast<std::int64_t>(running.size())},
                          {"suspected", list(suspected)},
--- a/tests/execution/suspects_test.cc
+++ b/tests/execution/suspects_test.cc
@@ -124,6 +124,13 @@
     this->running[node].push_back(call);
   }
 
+  void Answer(std::size_t node, Fingerprint call) {
+    const auto suspicion = this->tables[node].OnRanSafely(call, this->now);
+    if (suspicion) {
+      this->Broadcast({*suspicion});
+    }
+  }
+
   // Returns whether the request ran and crashed the backend server.
   bool SendCrashing(std::size_t node, Fingerprint call) {
     SuspectTable& table = this->tables[node];
@@ -147,6 +154,7 @@
   bool RunsAndClears(std::size_t node, Fingerprint call) {
     switch (this->tables[node].GetState(call, this->now)) {
       case SuspectState::kClear:
+        this->Answer(node, call);
         return true;
       case SuspectState::kQuarantined:
         return false;
@@ -157,8 +165,7 @@
       return false;
     }
     this->tables[node].ReleaseLocalSlot(call);
-    const auto suspicion = this->tables[node].OnRanSafely(call, this->now);
-    this->Broadcast({*suspicion});
+    this->Answer(node, call);
     return true;
   }
 
@@ -213,6 +220,43 @@
   }
 }
 
+// A request that nodes have answered before it begins to crash is excused for
+// two deaths at most: calls beside it that were in flight at as many are
+// quarantined by then. A popular lookup is in flight at each death, and is
+// answered between them.
+RC_GTEST_PROP(SuspectFleetTest,
+              AnsweredRequestCrashes_KillsAtMostFourAndLookupsGoOn,
+              ()) {
+  constexpr std::size_t kNodes = 5;
+  constexpr int kMaxDeaths = 4;
+  SuspectFleet fleet(kNodes);
+  const Fingerprint crashing{1000};
+  const Fingerprint lookup{2000};
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    fleet.Answer(node, lookup);
+    if (*rc::gen::arbitrary<bool>()) {
+      fleet.Answer(node, crashing);
+    }
+  }
+  std::uint64_t harmless_calls = 0;
+  int deaths = 0;
+  const int tries = *rc::gen::inRange(3, 30);
+  for (int i = 0; i < tries; ++i) {
+    const int calls = *rc::gen::inRange(0, 13);
+    for (int call = 0; call < calls; ++call) {
+      fleet.RunHarmless(*rc::gen::inRange<std::size_t>(0, kNodes),
+                        {++harmless_calls});
+    }
+    const auto node = *rc::gen::inRange<std::size_t>(0, kNodes);
+    fleet.RunHarmless(node, lookup);
+    deaths += fleet.SendCrashing(node, crashing) ? 1 : 0;
+    fleet.now += milliseconds(*rc::gen::inRange(200, 1000));
+    RC_ASSERT(
+        fleet.RunsAndClears(*rc::gen::inRange<std::size_t>(0, kNodes), lookup));
+  }
+  RC_ASSERT(deaths <= kMaxDeaths);
+}
+
 // Reconciliation ------------------------------------------------------------
 
 // Nodes of two services between which a split route divides one crashing
@@ -355,14 +399,14 @@
 // Repeats of one harmless call are in flight at every death.
 TEST_F(SuspectsTest, CallAnsweredLately_IsNotSuspectedBesideOthers) {
   this->table.OnRanSafely(this->other, this->now);
-  const auto suspicions = this->table.OnBackendDied(
-      this->self, "first", {this->crashing, this->other}, this->now);
-  ASSERT_EQ(suspicions.size(), 1U);
-  EXPECT_EQ(suspicions.front().fingerprint, this->crashing);
-  EXPECT_EQ(
-      this->table.OnBackendDied(this->self, "second", {this->other}, this->now)
-          .size(),
-      1U)
+  this->table.OnBackendDied(this->self, "first", {this->crashing, this->other},
+                            this->now);
+  EXPECT_EQ(this->table.GetState(this->crashing, this->now),
+            SuspectState::kSuspect);
+  EXPECT_EQ(this->table.GetState(this->other, this->now), SuspectState::kClear);
+  this->table.OnBackendDied(this->self, "second", {this->other}, this->now);
+  EXPECT_EQ(this->table.GetState(this->other, this->now),
+            SuspectState::kSuspect)
       << "nothing else can have been the cause";
 }
 
