HTTP client: an idle connection is closed at its first byte

A faulty backend server that goes on after a complete answer was noticed only when the connection was to be used again: until then the kernel takes bytes up to the size of its buffers, on each of 16 idle connections, and they count as memory of the process. A connection that the server closed kept its descriptor as long.

The pool waits for an idle connection to become readable and then closes it.

--- a/fakes/scripted_backend.h
+++ b/fakes/scripted_backend.h
@@ -5,6 +5,7 @@
 #define TANAGERLEDGE_FAKES_SCRIPTED_BACKEND_H_
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -12,6 +13,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -30,6 +32,8 @@
   struct Part {
     std::string bytes;
     std::chrono::milliseconds after{0};
+    // Writes them again and again until the connection is closed.
+    bool endless = false;
   };
   // Returns what to write for a request. `nth` is the index of the request on
   // its connection, from 0.
@@ -48,6 +52,9 @@
     return FormatAddress(this->acceptor.local_endpoint());
   }
 
+  // All bytes that its connections have taken.
+  std::size_t bytes_written() const { return this->written; }
+
   // Must be called on the loop. This object must outlive the loop's fibers.
   void Close() {
     this->closed = true;
@@ -100,18 +107,26 @@
       });
       std::ranges::for_each(this->script(request, nth), [&](const Part& part) {
         this->loop.SleepFor(part.after);
-        Await<std::size_t>([&](auto done) {
-          boost::asio::async_write(socket, boost::asio::buffer(part.bytes),
-                                   std::move(done));
-        });
+        while (this->Write(socket, part.bytes) && part.endless) {
+        }
       });
     }
   }
 
+  bool Write(Socket& socket, const std::string& bytes) {
+    const auto result = Await<std::size_t>([&](auto done) {
+      boost::asio::async_write(socket, boost::asio::buffer(bytes),
+                               std::move(done));
+    });
+    this->written += result.value;
+    return !result.error;
+  }
+
   IoLoop& loop;
   Script script;
   boost::asio::ip::tcp::acceptor acceptor;
   std::vector<SocketPtr> sockets;
+  std::atomic<std::size_t> written{0};
   bool closed = false;
 };
 
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -188,10 +188,23 @@
   if (reuse) {
     connection->stream.expires_never();
     connection->idle_since = Now();
+    this->WatchIdleConnection(connection);
     this->idle.push_back(std::move(connection));
   }
 }
 
+void HttpClient::WatchIdleConnection(const ConnectionPtr& connection) {
+  connection->stream.socket().async_wait(
+      tcp::socket::wait_read, [this, watched = std::weak_ptr(connection)](
+                                  boost::system::error_code error) {
+        // An idle connection lives no longer than this client.
+        const ConnectionPtr open = watched.lock();
+        if (!error && open && !this->busy.contains(open.get())) {
+          std::erase(this->idle, open);
+        }
+      });
+}
+
 tl::expected<HttpClient::ConnectionPtr, HttpError>
 HttpClient::AcquireConnection(Instant deadline, const std::string& id) {
   const auto fits = [&id](const ConnectionPtr& connection) {
@@ -207,6 +220,8 @@
     }
     ConnectionPtr connection = std::move(*found);
     this->idle.erase(std::next(found).base());
+    boost::system::error_code ignored;
+    connection->stream.socket().cancel(ignored);  // Ends the wait for bytes.
     const auto waited = Now() - connection->idle_since;
     if (waited < connection->max_reuse_idle_time && connection->IsOpen()) {
       return connection;
@@ -219,7 +234,7 @@
   if (this->closed) {
     return tl::unexpected(HttpError{false, "the client is closed"});
   }
-  auto connection = std::make_unique<Connection>(this->loop.context());
+  auto connection = std::make_shared<Connection>(this->loop.context());
   this->busy.insert(connection.get());
   connection->stream.expires_at(
       std::min(deadline, Now() + this->options.connect_timeout));
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -95,7 +95,7 @@
 
  private:
   struct Connection;
-  using ConnectionPtr = std::unique_ptr<Connection>;
+  using ConnectionPtr = std::shared_ptr<Connection>;
 
   // Returns an idle connection that is still open and was not used for `id`, or
   // a new one.
@@ -111,6 +111,9 @@
                                                      bool head_only);
   // Returns the connection to the pool, or closes it if it can't be reused.
   void ReleaseConnection(ConnectionPtr connection);
+  // Closes an idle connection as soon as the server closes it or sends bytes,
+  // which belong to no request: a faulty server may send them without end.
+  void WatchIdleConnection(const ConnectionPtr& connection);
 
   IoLoop& loop;
   boost::asio::ip::tcp::endpoint server;
--- a/tests/log/http_client_test.cc
+++ b/tests/log/http_client_test.cc
@@ -287,6 +287,34 @@
   EXPECT_LT(this->sent, 16U * 1024 * 1024);
 }
 
+// A faulty server goes on after a complete answer, on a connection that nobody
+// uses then. What the kernel has received counts as memory of the process.
+TEST_F(HttpClientTest, EndlessBytesOnIdleConnection_ConnectionIsClosed) {
+  bool client_closed = false;
+  this->loop.Spawn([&] {
+    tcp::socket socket(this->loop.context());
+    if (AwaitError([&](auto handler) {
+          this->acceptor.async_accept(socket, std::move(handler));
+        })) {
+      return;
+    }
+    this->AnswerAll(socket, {kOk});
+    this->loop.SleepFor(milliseconds(20));
+    const std::string noise(16 * 1024, '~');
+    while (Await<std::size_t>([&](auto handler) {
+      boost::asio::async_write(socket, boost::asio::buffer(noise),
+                               std::move(handler));
+    })) {
+    }
+    client_closed = true;
+  });
+  this->WithClient([&](HttpClient& client) {
+    EXPECT_TRUE(client.Send(kGet, seconds(5)).has_value());
+    this->loop.SleepFor(milliseconds(200));
+    EXPECT_TRUE(client_closed);
+  });
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Servers,
     EndlessAnswerTest,
