--- a/src/node/suspect_host.cc
+++ b/src/node/suspect_host.cc
@@ -272,8 +272,8 @@
     // A line of the log has room for this many.
     constexpr std::size_t kMaxListed = 32;
     std::ranges::sort(fingerprints);
-    const auto repeated = std::ranges::unique(fingerprints);
-    fingerprints.erase(repeated.begin(), repeated.end());
+    fingerprints.erase(std::unique(fingerprints.begin(), fingerprints.end()),
+                       fingerprints.end());
     fingerprints.resize(std::min(fingerprints.size(), kMaxListed));
     std::string text;
     std::ranges::for_each(fingerprints, [&text](Fingerprint each) {
