Soak: a pause across the end of the grace time is allowed for from its start

Traced from its log: no line between 4,010 and 6,170 ms after the SIGTERM, then all at once; the soak had stopped the process with SIGSTOP. A paused node is given the length of the pause, but only once it is over, so the check at 6 s met the old deadline.

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -491,10 +491,10 @@
   void Pause(Site& site, milliseconds length) {
     site.history.OnPause();
     site.process->Signal(SIGSTOP);
+    site.stop_deadline += length;  // A paused node can't end.
     this->loop.SleepFor(length);
     site.process->Signal(SIGCONT);
     site.history.OnContinue(Now());
-    site.stop_deadline += length;  // A paused node can't end.
   }
 
   // Sends SIGHUP, but not to a program that is still loading: it has no handler
