--- a/soak/node_history.h
+++ b/soak/node_history.h
@@ -30,6 +30,7 @@
     this->last_disturbance = at;
   }
 
+  bool paused() const { return this->pauses > 0; }
   // Whether the node was killed or paused at any time since `since`.
   bool DisturbedSince(Instant since) const {
     return this->pauses > 0 ||
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -218,7 +218,9 @@
       }
       this->loop.SleepFor(kPollInterval);
       const auto code = site.process->Reap();
-      if (site.stopping && Now() > site.stop_deadline) {
+      // The deadline of a paused node is extended once the pause is over.
+      if (site.stopping && !site.history.paused() &&
+          Now() > site.stop_deadline) {
         this->violations.push_back("a node outlived its grace time");
         site.stop_deadline += std::chrono::hours(1);  // Reports it once only.
       }
@@ -491,10 +493,10 @@
   void Pause(Site& site, milliseconds length) {
     site.history.OnPause();
     site.process->Signal(SIGSTOP);
-    site.stop_deadline += length;  // A paused node can't end.
     this->loop.SleepFor(length);
     site.process->Signal(SIGCONT);
     site.history.OnContinue(Now());
+    site.stop_deadline += length;  // A paused node can't end.
   }
 
   // Sends SIGHUP, but not to a program that is still loading: it has no handler
