--- a/soak/backend.cc
+++ b/soak/backend.cc
@@ -220,8 +220,11 @@
 std::string Backend::HeartbeatBody(const char* state) {
   return nlohmann::json{{"service", this->identity.service},
                         {"address", this->proxy->address()},
+                        {"zone", "a"},
+                        {"version", "v1"},
                         {"slots", this->busy ? kBusySlots : kSlots},
                         {"state", state},
+                        {"cold_remaining_ms", 0},
                         {"sequence", ++this->heartbeat_count},
                         {"born", this->born_ms}}
       .dump();
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -596,6 +596,28 @@
   this->membership.Announce(endpoint);
 }
 
+// A heartbeat of a service that nobody knows may come from another writer. The
+// service may be added to the configuration later: the next heartbeat is
+// checked again.
+tl::expected<void, std::string> Sidecar::CheckHeartbeat(
+    const Heartbeat& heartbeat) const {
+  if (heartbeat.born_ms > UnixMilliseconds() + kMaxClockDifferenceMs) {
+    return tl::unexpected(
+        std::string("it says that it was born in the future"));
+  }
+  const auto& backend = this->gateway.backend();
+  const bool known_start = backend && backend->instance == heartbeat.instance &&
+                           backend->born_ms == heartbeat.born_ms &&
+                           backend->service == heartbeat.service;
+  const bool named =
+      known_start || heartbeat.service == this->settings.service ||
+      (this->mesh && this->mesh->Service(heartbeat.service) != nullptr);
+  return named ? tl::expected<void, std::string>()
+               : tl::unexpected(std::string(
+                     this->mesh ? "no service of this name"
+                                : "the configuration is not known yet"));
+}
+
 std::optional<HttpResponse> Sidecar::OnBackendMessage(
     const HttpRequest& request) {
   const auto message = this->platform.ParseBackendMessage(request);
@@ -605,6 +627,14 @@
     return MakeResponse(kBadRequest, "text/plain", message.error() + "\n");
   }
   if (const auto* heartbeat = std::get_if<Heartbeat>(&*message)) {
+    if (const auto valid = this->CheckHeartbeat(*heartbeat); !valid) {
+      this->events.Write("heartbeat rejected",
+                         {{"instance", heartbeat->instance},
+                          {"service", heartbeat->service.value},
+                          {"born_ms", heartbeat->born_ms},
+                          {"error", valid.error()}});
+      return MakeResponse(kBadRequest, "text/plain", valid.error() + "\n");
+    }
     const HeartbeatVerdict verdict = this->gateway.OnHeartbeat(*heartbeat);
     if (verdict != HeartbeatVerdict::kUnchanged) {
       this->events.Write(
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -74,6 +74,8 @@
   void OnMembers(const std::vector<Member>& members);
   void AnnounceBackend();
   std::optional<HttpResponse> OnBackendMessage(const HttpRequest& request);
+  tl::expected<void, std::string> CheckHeartbeat(
+      const Heartbeat& heartbeat) const;
   HttpResponse OnReadiness() const;
   bool IsReady() const;
   void RegisterMetrics();
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 #include "platform/operator_config.h"
 
@@ -196,6 +197,44 @@
   }
 }
 
+// Another writer's heartbeat: it names no backend server, whichever field is
+// wrong.
+TEST_F(PlatformTest, HeartbeatWithOneFieldMissingOrOdd_IsRejected) {
+  const nlohmann::json valid = {{"service", "s"},
+                                {"address", "10.0.0.9:8080"},
+                                {"zone", "z"},
+                                {"version", "v1"},
+                                {"slots", 18},
+                                {"state", "ready"},
+                                {"cold_remaining_ms", 0},
+                                {"sequence", 4},
+                                {"born", 1700000000123}};
+  const auto is_valid = [this](const nlohmann::json& body) {
+    return this->platform.ParseBackendMessage(HeartbeatRequest(body.dump()))
+        .has_value();
+  };
+  ASSERT_TRUE(is_valid(valid));
+  for (const auto& [field, value] : valid.items()) {
+    nlohmann::json changed = valid;
+    changed.erase(field);
+    EXPECT_FALSE(is_valid(changed)) << "without " << field;
+    const nlohmann::json other_type =
+        value.is_string() ? nlohmann::json(7) : nlohmann::json("7");
+    for (const auto& odd : {nlohmann::json(), nlohmann::json::array(),
+                            nlohmann::json(true), other_type}) {
+      changed[field] = odd;
+      EXPECT_FALSE(is_valid(changed)) << field << " " << odd;
+    }
+  }
+}
+
+TEST_F(PlatformTest, InstanceWithLongId_IsRejected) {
+  HttpRequest request;
+  request.method = "DELETE";
+  request.target = "/instances/" + std::string(5000, 'i');
+  EXPECT_FALSE(this->platform.ParseBackendMessage(request).has_value());
+}
+
 TEST_F(PlatformTest, Delete_IsADeregistration) {
   HttpRequest request;
   request.method = "DELETE";
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -552,8 +552,11 @@
     request.body = json{
         {"service", node.service.value},
         {"address", address},
+        {"zone", "a"},
+        {"version", "v1"},
         {"slots", 4},
         {"state", state},
+        {"cold_remaining_ms", 0},
         {"sequence", ++this->heartbeat_count},
         {"born", 1000}}.dump();
     EXPECT_EQ(this->Send(node.admin_address, request).status, 200);
@@ -944,37 +947,73 @@
 TEST_F(SidecarTest, OddHeartbeat_LaterHeartbeatsAreAccepted) {
   const Settings& archive = this->Start("archive");
   this->Configure(1);
-  const auto put = [&](const std::string& body) {
+  const auto put = [&](const std::string& field, const std::string& value) {
+    std::map<std::string, std::string> fields = {
+        {"service", R"("archive")"},
+        {"address", "\"" + this->first_backend.address + "\""},
+        {"zone", R"("a")"},
+        {"version", R"("v1")"},
+        {"state", R"("ready")"},
+        {"slots", "4"},
+        {"cold_remaining_ms", "0"},
+        {"sequence", "1"},
+        {"born", "1000"}};
+    fields[field] = value;
+    std::string body;
+    std::ranges::for_each(fields, [&body](const auto& each) {
+      body += (body.empty() ? "{\"" : ",\"") + each.first + "\":" + each.second;
+    });
     HttpRequest request;
     request.method = "PUT";
     request.target = "/instances/" + this->first_backend.instance;
-    request.body = body;
+    request.body = body + "}";
     return this->Send(archive.admin_address, request).status;
   };
-  const auto body = [&](const char* sequence, const char* slots,
-                        const std::string& more) {
-    return R"({"service":"archive","address":")" + this->first_backend.address +
-           R"(","state":"ready","sequence":)" + sequence + R"(,"slots":)" +
-           slots + more + "}";
-  };
-  EXPECT_EQ(put(body("-1", "4", "")), 400);
-  EXPECT_EQ(put(body("1e30", "4", "")), 400);
-  EXPECT_EQ(put(body("18446744073709551615", "4", "")), 400);
-  EXPECT_EQ(put(body("1", "4294967300", "")), 400);
-  EXPECT_EQ(put(body("1", "1e400", "")), 400);
-  EXPECT_EQ(put(body("1", "4", R"(,"cold_remaining_ms":9223372036854775807)")),
-            400);
-  EXPECT_EQ(put(body("1", "4", R"(,"born":1.5)")), 400);
+  EXPECT_EQ(put("sequence", "-1"), 400);
+  EXPECT_EQ(put("sequence", "1e30"), 400);
+  EXPECT_EQ(put("sequence", "18446744073709551615"), 400);
+  EXPECT_EQ(put("slots", "4294967300"), 400);
+  EXPECT_EQ(put("slots", "1e400"), 400);
+  EXPECT_EQ(put("cold_remaining_ms", "9223372036854775807"), 400);
+  EXPECT_EQ(put("born", "1.5"), 400);
+  EXPECT_EQ(put("born", "9007199254740000"), 400);
+  EXPECT_EQ(put("service", R"("nobody")"), 400);
   constexpr std::size_t kDepth = 200'000;
-  const int nested = put(body(
-      "1", "4",
-      R"(,"extra":)" + std::string(kDepth, '[') + std::string(kDepth, ']')));
+  const int nested =
+      put("extra", std::string(kDepth, '[') + std::string(kDepth, ']'));
   EXPECT_TRUE(nested == 200 || nested == 400 || nested == 413) << nested;
   this->SendHeartbeat(archive, this->first_backend);
   EXPECT_TRUE(this->Eventually(
       [&] { return this->Call(archive, "archive.example").status == 200; }));
 }
 
+// The service is unknown until a later configuration names it.
+TEST_F(SidecarTest, HeartbeatOfUnnamedService_LeavesBackendInPlace) {
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  this->SendHeartbeat(archive, this->first_backend);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+  HttpRequest request;
+  request.method = "PUT";
+  request.target = "/instances/i-other";
+  request.body = json{
+      {"service", "nobody"},
+      {"address", this->first_backend.address},
+      {"zone", "a"},
+      {"version", "v1"},
+      {"slots", 4},
+      {"state", "ready"},
+      {"cold_remaining_ms", 0},
+      {"sequence", 1},
+      {"born", 2000}}.dump();
+  EXPECT_EQ(this->Send(archive.admin_address, request).status, 400);
+  EXPECT_EQ(this->Call(archive, "archive.example").status, 200);
+  this->Deregister(archive, this->first_backend);
+  EXPECT_TRUE(this->Eventually(
+      [&] { return this->NoCallReaches(this->first_backend, archive); }));
+}
+
 TEST_F(SidecarTest, StoppedDuringCall_CallerGetsItsAnswer) {
   this->grace = milliseconds(3000);
   const Settings& archive = this->Start("archive");
