One message does not displace a backend server that lives

Cause: BackendLife adopted any heartbeat that was not older and retired the current start for good. A single message of another writer took its place, its draining was then ignored, and its heartbeats stayed stale.

Change: a heartbeat of another instance beside a live one is a candidate: it is adopted once a health check answers with its name, or after three heartbeats in order with none of the current one in between. Only starts that have left are retired; a displaced one returns by the same proof. A draining message of another start binds for that start but leaves the current one in place. A health answer that was asked for before the current one's last heartbeat proves nothing. A newer start of the same name still takes its place at once; if the older start then announces its leave before the newer has sent a second heartbeat, it is obeyed until three heartbeats prove the newer one.

HeartbeatOfPreviousStart_IsStale let one heartbeat displace a live instance, which is the fault; it confirms the newcomer now and checks the same.

--- a/include/tanagerledge/backend_life.h
+++ b/include/tanagerledge/backend_life.h
@@ -12,6 +12,12 @@
 // server that may already have left must therefore be confirmed by a health
 // check first (NeedsConfirmation).
 //
+// A backend server that is known to live is not displaced by one message, which
+// may come from another writer: the newcomer must be confirmed too. One that
+// was displaced without having left returns when it is confirmed. Three
+// heartbeats in order, with none of the current backend server in between,
+// replace a health check, so that no displacement lasts longer than that.
+//
 // The class does no I/O and reads no clock: callers pass in heartbeats and the
 // current time.
 
@@ -33,7 +39,7 @@
 struct Heartbeat {
   // Usually unique to one start of the backend server.
   std::string instance;
-  std::int64_t born_ms = 0;    // Unix time of its start; 0 if unknown.
+  std::int64_t born_ms = 0;    // Unix time of its start.
   std::uint64_t sequence = 0;  // Increases with each heartbeat of one start.
   ServiceName service;
   std::string address;
@@ -46,7 +52,7 @@
   kUnchanged,    // Only the time of the last heartbeat has changed.
   kChanged,      // The service, slots, state or start has changed.
   kStale,        // Ignored: a newer heartbeat or the leave is known.
-  kUnconfirmed,  // May predate its leave: a health check is needed.
+  kUnconfirmed,  // Not proven to live: a health check is needed.
 };
 
 struct BackendLifeConfig {
@@ -74,7 +80,8 @@
   HeartbeatVerdict OnHeartbeat(const Heartbeat& heartbeat, Instant now);
   // Handles the positive answer to a health check sent at `asked_at`: the
   // backend server is running and not leaving. Returns false if newer
-  // information, such as its leave, has arrived since.
+  // information has arrived since, such as its leave or a heartbeat of the
+  // current backend server.
   bool OnConfirmed(const Heartbeat& heartbeat, Instant asked_at, Instant now);
   // Handles a record, written by an earlier start of this node, that the
   // backend server was leaving.
@@ -115,18 +122,26 @@
   }
   bool IsRetired(const Start& start) const;
   void Retire(const Start& start);
-  bool IsOlder(const Heartbeat& heartbeat) const;
+  bool IsOlderStart(const Heartbeat& heartbeat) const;
   bool IsCurrent(const Heartbeat& heartbeat) const;
-  bool NeedsConfirmation(const Heartbeat& heartbeat) const;
+  bool NeedsConfirmation(const Heartbeat& heartbeat, Instant now) const;
+  HeartbeatVerdict OnCurrentHeartbeat(const Heartbeat& heartbeat, Instant now);
+  HeartbeatVerdict OnOtherDraining(const Heartbeat& heartbeat, Instant now);
   HeartbeatVerdict CheckCandidate(const Heartbeat& heartbeat, Instant now);
   HeartbeatVerdict Adopt(const Heartbeat& heartbeat, Instant now);
+  void ReplaceCurrent(const Heartbeat& heartbeat);
   void BeginLeave(Instant now, std::chrono::milliseconds grace);
+  void CheckForeignLeave();
   std::optional<Instant> LastUnknownLeave(const std::string& instance) const;
 
   BackendLifeConfig config;
   std::optional<Heartbeat> current;
   Instant last_heartbeat{};
+  int heartbeats = 0;  // Heartbeats of the current start, in order.
   std::optional<Instant> leave_time;  // When its leave was acknowledged.
+  // Set if an older start of the same name announced the leave: the number of
+  // heartbeats of the current start since.
+  std::optional<int> heartbeats_since_foreign_leave;
   Instant grace_end{};  // Calls already on their way are accepted until then.
   bool dead = false;
   std::optional<Heartbeat> candidate;
--- a/src/membership/backend_life.cc
+++ b/src/membership/backend_life.cc
@@ -19,27 +19,63 @@
 
 HeartbeatVerdict BackendLife::OnHeartbeat(const Heartbeat& heartbeat,
                                           Instant now) {
-  const Start start = StartOf(heartbeat);
-  if (this->IsRetired(start)) {
+  if (this->IsRetired(StartOf(heartbeat))) {
     return HeartbeatVerdict::kStale;
   }
-  if (this->IsOlder(heartbeat)) {
-    // Draining is final for a start, even if its heartbeats arrive out of
-    // order.
-    if (this->IsCurrent(heartbeat) && heartbeat.draining && !this->leave_time) {
-      this->BeginLeave(now, this->config.drain_grace_period);
-      return HeartbeatVerdict::kChanged;
-    }
-    return HeartbeatVerdict::kStale;
+  if (this->IsCurrent(heartbeat)) {
+    return this->OnCurrentHeartbeat(heartbeat, now);
+  }
+  if (heartbeat.draining && this->current) {
+    return this->OnOtherDraining(heartbeat, now);
+  }
+  return this->NeedsConfirmation(heartbeat, now)
+             ? this->CheckCandidate(heartbeat, now)
+             : this->Adopt(heartbeat, now);
+}
+
+HeartbeatVerdict BackendLife::OnCurrentHeartbeat(const Heartbeat& heartbeat,
+                                                 Instant now) {
+  if (heartbeat.sequence > this->current->sequence) {
+    return this->Adopt(heartbeat, now);
+  }
+  // Draining is final for a start, even if its heartbeats arrive out of order.
+  if (heartbeat.draining && !this->leave_time) {
+    this->BeginLeave(now, this->config.drain_grace_period);
+    return HeartbeatVerdict::kChanged;
   }
-  if (this->NeedsConfirmation(heartbeat)) {
-    return this->CheckCandidate(heartbeat, now);
+  return HeartbeatVerdict::kStale;
+}
+
+// A start other than the current one is draining. The acknowledgement binds,
+// but the current one stays if it lives.
+HeartbeatVerdict BackendLife::OnOtherDraining(const Heartbeat& heartbeat,
+                                              Instant now) {
+  const bool lives = this->State(now) == EndpointState::kReady;
+  const bool same_name = this->current->instance == heartbeat.instance;
+  const bool replaces_current =
+      !this->IsOlderStart(heartbeat) && (!lives || same_name);
+  if (replaces_current) {
+    return this->Adopt(heartbeat, now);
+  }
+  this->Retire(StartOf(heartbeat));
+  if (this->candidate && StartOf(*this->candidate) == StartOf(heartbeat)) {
+    this->candidate.reset();
+  }
+  // The start that took its name has sent a single message, perhaps from
+  // another writer.
+  if (lives && same_name && this->heartbeats <= 1) {
+    this->BeginLeave(now, this->config.drain_grace_period);
+    this->heartbeats_since_foreign_leave = 0;
+    return HeartbeatVerdict::kChanged;
   }
-  return this->Adopt(heartbeat, now);
+  return HeartbeatVerdict::kStale;
 }
 
 HeartbeatVerdict BackendLife::CheckCandidate(const Heartbeat& heartbeat,
                                              Instant now) {
+  // Late heartbeats of earlier starts arrive singly and are not worth a health
+  // check.
+  constexpr int kHeartbeatsToCheckOlderStart = 2;
   const bool same_start =
       this->candidate && StartOf(*this->candidate) == StartOf(heartbeat);
   if (same_start && heartbeat.sequence <= this->candidate->sequence) {
@@ -47,26 +83,30 @@
   }
   this->candidate = heartbeat;
   this->candidate_heartbeats = same_start ? this->candidate_heartbeats + 1 : 1;
-  const bool confirmed = this->candidate_heartbeats >= kHeartbeatsToConfirm &&
-                         !this->LastUnknownLeave(heartbeat.instance);
-  return confirmed ? this->Adopt(heartbeat, now)
-                   : HeartbeatVerdict::kUnconfirmed;
+  if (this->candidate_heartbeats >= kHeartbeatsToConfirm &&
+      !this->LastUnknownLeave(heartbeat.instance)) {
+    return this->Adopt(heartbeat, now);
+  }
+  const bool worth_a_check =
+      !this->IsOlderStart(heartbeat) ||
+      this->candidate_heartbeats >= kHeartbeatsToCheckOlderStart;
+  return worth_a_check ? HeartbeatVerdict::kUnconfirmed
+                       : HeartbeatVerdict::kStale;
 }
 
 HeartbeatVerdict BackendLife::Adopt(const Heartbeat& heartbeat, Instant now) {
   const bool same_start = this->IsCurrent(heartbeat);
   const bool was_present = this->State(now) != EndpointState::kGone;
+  if (!same_start) {
+    this->ReplaceCurrent(heartbeat);
+  }
+  ++this->heartbeats;
+  this->CheckForeignLeave();
   const bool same = same_start && was_present &&
                     this->current->service == heartbeat.service &&
                     this->current->slots == heartbeat.slots &&
                     this->current->address == heartbeat.address &&
                     this->leave_time.has_value() == heartbeat.draining;
-  if (!same_start) {
-    if (this->current) {
-      this->Retire(StartOf(*this->current));
-    }
-    this->leave_time.reset();
-  }
   if (heartbeat.draining && !this->leave_time) {
     // No call can be on its way to a backend server that was unknown until now.
     this->BeginLeave(now, same_start ? this->config.drain_grace_period
@@ -79,12 +119,37 @@
   return same ? HeartbeatVerdict::kUnchanged : HeartbeatVerdict::kChanged;
 }
 
+// Makes another start the current one. The previous one may come back unless it
+// has left.
+void BackendLife::ReplaceCurrent(const Heartbeat& heartbeat) {
+  if (this->current && this->leave_time &&
+      !this->heartbeats_since_foreign_leave) {
+    this->Retire(StartOf(*this->current));
+  }
+  this->current = heartbeat;
+  this->heartbeats = 0;
+  this->leave_time.reset();
+  this->heartbeats_since_foreign_leave.reset();
+}
+
+// Ends a leave that an earlier start of the same name announced once the
+// current start is proven to live.
+void BackendLife::CheckForeignLeave() {
+  if (this->heartbeats_since_foreign_leave &&
+      ++*this->heartbeats_since_foreign_leave >= kHeartbeatsToConfirm) {
+    this->leave_time.reset();
+    this->heartbeats_since_foreign_leave.reset();
+  }
+}
+
 bool BackendLife::OnConfirmed(const Heartbeat& heartbeat,
                               Instant asked_at,
                               Instant now) {
   const auto last_leave = this->LastUnknownLeave(heartbeat.instance);
+  const bool heard_from_current =
+      this->current && !this->dead && this->last_heartbeat >= asked_at;
   if (this->IsRetired(StartOf(heartbeat)) || this->IsCurrent(heartbeat) ||
-      this->IsOlder(heartbeat) || (last_leave && *last_leave >= asked_at)) {
+      heard_from_current || (last_leave && *last_leave >= asked_at)) {
     return false;
   }
   // A heartbeat that arrived after the health check was sent is newer.
@@ -96,8 +161,11 @@
 }
 
 void BackendLife::OnLeftEarlier(const Heartbeat& heartbeat, Instant now) {
-  if (this->IsCurrent(heartbeat) && !this->leave_time) {
-    this->BeginLeave(now, std::chrono::milliseconds{0});
+  if (this->IsCurrent(heartbeat)) {
+    this->heartbeats_since_foreign_leave.reset();
+    if (!this->leave_time) {
+      this->BeginLeave(now, std::chrono::milliseconds{0});
+    }
   }
   if (this->candidate && StartOf(*this->candidate) == StartOf(heartbeat)) {
     this->candidate.reset();
@@ -110,6 +178,7 @@
     if (!this->leave_time) {
       this->BeginLeave(now, this->config.drain_grace_period);
     }
+    this->heartbeats_since_foreign_leave.reset();
     this->Retire(StartOf(*this->current));
     return true;
   }
@@ -177,32 +246,30 @@
   }
 }
 
-// Starts are ordered by birth time, heartbeats of one start by sequence. A
-// start with a new name and without a birth time counts as newer.
-bool BackendLife::IsOlder(const Heartbeat& heartbeat) const {
-  if (!this->current) {
-    return false;
-  }
-  if (this->IsCurrent(heartbeat)) {
-    return heartbeat.sequence <= this->current->sequence;
-  }
-  return heartbeat.born_ms != 0 && heartbeat.born_ms < this->current->born_ms;
+bool BackendLife::IsOlderStart(const Heartbeat& heartbeat) const {
+  return this->current && heartbeat.born_ms < this->current->born_ms;
 }
 
 bool BackendLife::IsCurrent(const Heartbeat& heartbeat) const {
   return this->current && StartOf(*this->current) == StartOf(heartbeat);
 }
 
-// Whether the backend server may have left without this start of the node
-// knowing its identity. A draining heartbeat is accepted at once.
-bool BackendLife::NeedsConfirmation(const Heartbeat& heartbeat) const {
-  if (heartbeat.draining || this->IsCurrent(heartbeat)) {
+// Whether the backend server, which is not the current one, may have left
+// without this start of the node knowing its identity, or would displace one
+// that is newer or lives. A name belongs to one process at a time, so a newer
+// start of the current name takes its place at once.
+bool BackendLife::NeedsConfirmation(const Heartbeat& heartbeat,
+                                    Instant now) const {
+  if (heartbeat.draining) {
     return false;
   }
   const bool older_than_node =
-      !this->current && this->config.node_started_ms &&
+      this->config.node_started_ms &&
       heartbeat.born_ms < *this->config.node_started_ms + kMaxClockStepMs;
-  return older_than_node || this->LastUnknownLeave(heartbeat.instance);
+  const bool displaces_live = this->State(now) == EndpointState::kReady &&
+                              this->current->instance != heartbeat.instance;
+  return older_than_node || displaces_live || this->IsOlderStart(heartbeat) ||
+         this->LastUnknownLeave(heartbeat.instance);
 }
 
 std::optional<Instant> BackendLife::LastUnknownLeave(
--- a/tests/membership/backend_life_property_test.cc
+++ b/tests/membership/backend_life_property_test.cc
@@ -6,6 +6,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "tanagerledge/backend_life.h"
@@ -213,5 +214,67 @@
   RC_ASSERT(simulation.AcceptsCalls());
 }
 
+// Other writers send single messages under other names, and for other starts of
+// the same name.
+Heartbeat OddHeartbeat(int kind, int number) {
+  Heartbeat heartbeat;
+  heartbeat.instance = kind % 3 == 0 ? "i1" : "odd" + std::to_string(number);
+  heartbeat.born_ms = 999'000 + number;
+  heartbeat.sequence = static_cast<std::uint64_t>(number);
+  heartbeat.service = {"claims"};
+  heartbeat.address = "10.0.0.1:81";
+  heartbeat.slots = 1;
+  heartbeat.draining = kind % 2 == 0;
+  return heartbeat;
+}
+
+// The backend server lives all the while: whatever single messages arrive, it
+// accepts calls again after three of its heartbeats, and its leave is obeyed.
+RC_GTEST_PROP(BackendLifeProperty,
+              OddMessages_LiveBackendReturnsAndItsLeaveIsObeyed,
+              ()) {
+  constexpr milliseconds kHeartbeatPeriod{1500};
+  BackendLife life;
+  Instant now = Instant{} + std::chrono::hours(1);
+  Heartbeat own;
+  own.instance = "i1";
+  own.born_ms = 1'000'000;
+  own.service = {"claims"};
+  own.address = "10.0.0.1:80";
+  own.slots = 13;
+  const auto beat = [&] {
+    ++own.sequence;
+    life.OnHeartbeat(own, now);
+  };
+  const auto steps = *rc::gen::resize(
+      kMaxScheduleSteps,
+      rc::gen::container<std::vector<std::pair<int, int>>>(
+          rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(1, 3000))));
+  for (const auto& [step, amount] : steps) {
+    if (step < 6) {
+      life.OnHeartbeat(OddHeartbeat(step, amount), now);
+      now += milliseconds(amount % 400);
+    } else if (step == 6) {
+      life.OnDied("i1");
+    } else {
+      beat();
+      now += kHeartbeatPeriod;
+    }
+  }
+  for (int heartbeat = 0; heartbeat < 3; ++heartbeat) {
+    now += kHeartbeatPeriod;
+    beat();
+  }
+  RC_ASSERT(life.MayRun({"claims"}, now));
+  RC_ASSERT(life.known()->instance == "i1");
+  if (*rc::gen::arbitrary<bool>()) {
+    life.OnHeartbeat(OddHeartbeat(3, 2500), now);
+  }
+  own.draining = true;
+  beat();
+  now += BackendLifeConfig().drain_grace_period;
+  RC_ASSERT(!life.MayRun({"claims"}, now));
+}
+
 }  // namespace
 }  // namespace tanagerledge
--- a/tests/membership/backend_life_test.cc
+++ b/tests/membership/backend_life_test.cc
@@ -103,12 +103,96 @@
 
 TEST_F(BackendLifeTest, HeartbeatOfPreviousStart_IsStale) {
   this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  this->now += milliseconds(1500);
   this->life.OnHeartbeat(this->MakeHeartbeat("i2", 9, 1), this->now);
+  EXPECT_TRUE(this->life.OnConfirmed(this->MakeHeartbeat("i2", 9, 1), this->now,
+                                     this->now + milliseconds(2)));
   EXPECT_EQ(this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 4), this->now),
             HeartbeatVerdict::kStale);
   EXPECT_EQ(this->life.known()->instance, "i2");
 }
 
+// One message doesn't displace a backend server that lives.
+TEST_F(BackendLifeTest, SingleHeartbeatOfOtherInstance_CurrentOneStays) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  EXPECT_EQ(this->life.OnHeartbeat(this->MakeHeartbeat("odd", 9, 1), this->now),
+            HeartbeatVerdict::kUnconfirmed);
+  EXPECT_EQ(this->life.known()->instance, "i1");
+  EXPECT_TRUE(this->MayRun());
+  EXPECT_EQ(
+      this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 4, true), this->now),
+      HeartbeatVerdict::kChanged);
+  this->now += milliseconds(1001);
+  EXPECT_FALSE(this->MayRun());
+}
+
+TEST_F(BackendLifeTest, SingleDrainingHeartbeatOfOtherInstance_CurrentStays) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  this->life.OnHeartbeat(this->MakeHeartbeat("odd", 9, 1, true), this->now);
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kReady);
+  // Its leave is acknowledged all the same.
+  this->life.OnDied("i1");
+  EXPECT_EQ(this->life.OnHeartbeat(this->MakeHeartbeat("odd", 9, 2), this->now),
+            HeartbeatVerdict::kStale);
+}
+
+TEST_F(BackendLifeTest, NewInstanceAnswersHealthCheck_TakesOver) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  this->now += milliseconds(500);
+  const Heartbeat next = this->MakeHeartbeat("i2", 9, 1);
+  this->life.OnHeartbeat(next, this->now);
+  EXPECT_TRUE(
+      this->life.OnConfirmed(next, this->now, this->now + milliseconds(2)));
+  EXPECT_EQ(this->life.known()->instance, "i2");
+}
+
+TEST_F(BackendLifeTest, CurrentHeardSinceHealthCheck_IsNotDisplaced) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  const Heartbeat next = this->MakeHeartbeat("odd", 9, 1);
+  this->life.OnHeartbeat(next, this->now);
+  const Instant asked = this->now;
+  this->now += milliseconds(2);
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 4), this->now);
+  EXPECT_FALSE(this->life.OnConfirmed(next, asked, this->now));
+  EXPECT_EQ(this->life.known()->instance, "i1");
+}
+
+TEST_F(BackendLifeTest, DisplacedWithoutLeave_ReturnsByThreeHeartbeats) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  this->life.OnDied("i1");
+  this->life.OnHeartbeat(this->MakeHeartbeat("odd", 9, 1), this->now);
+  EXPECT_EQ(this->life.known()->instance, "odd");
+  for (std::uint64_t sequence = 4; sequence < 7; ++sequence) {
+    this->now += milliseconds(1500);
+    this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, sequence), this->now);
+  }
+  EXPECT_EQ(this->life.known()->instance, "i1");
+  EXPECT_TRUE(this->MayRun());
+}
+
+TEST_F(BackendLifeTest, LeftBeforeReplacement_HeartbeatsDoNotReturnIt) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3, true), this->now);
+  this->life.OnHeartbeat(this->MakeHeartbeat("i2", 9, 1), this->now);
+  this->life.OnDied("i2");
+  for (std::uint64_t sequence = 4; sequence < 9; ++sequence) {
+    this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, sequence), this->now);
+  }
+  EXPECT_FALSE(this->MayRun());
+}
+
+// The newer start of the name may be another writer's.
+TEST_F(BackendLifeTest, OlderStartOfSameNameDrains_DrainsUntilNewerIsProven) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 7, 1), this->now);
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 4, true), this->now);
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kDraining);
+  for (std::uint64_t sequence = 2; sequence < 5; ++sequence) {
+    this->now += milliseconds(1500);
+    this->life.OnHeartbeat(this->MakeHeartbeat("i1", 7, sequence), this->now);
+  }
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kReady);
+}
+
 TEST_F(BackendLifeTest, HeartbeatOfUnknownOlderStart_IsStale) {
   this->life.OnHeartbeat(this->MakeHeartbeat("i2", 9, 1), this->now);
   EXPECT_EQ(this->life.OnHeartbeat(this->MakeHeartbeat("i0", 4, 30), this->now),
