--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -33,6 +33,10 @@
 // same machine within some ms, and never if it hangs.
 constexpr std::chrono::milliseconds kLingerTimeout{1000};
 
+// Bytes of later requests that are read while a request is in progress. A close
+// behind more than that is noticed only after the response.
+constexpr std::size_t kMaxReadAheadBytes = 32 * 1024;
+
 std::string ToString(beast::string_view text) {
   return std::string(text.data(), text.size());
 }
@@ -86,6 +90,11 @@
   }
 }
 
+void DisconnectNotifier::Finish() {
+  this->is_finished = true;
+  this->on_disconnect = nullptr;
+}
+
 // Connection ----------------------------------------------------------------
 
 struct HttpServer::Connection {
@@ -98,16 +107,26 @@
     this->stream.close();
   }
 
-  // True when the caller has closed the connection or the connection failed.
-  bool CallerDisconnected() {
-    char byte = 0;
+  // Reads what has arrived behind the request in progress. Without that, bytes
+  // of a next request would hide the close behind them. Returns false when the
+  // caller has closed the connection or the connection failed.
+  bool ReadAhead() {
+    constexpr std::size_t kStepBytes = 512;
     error_code error;
     this->stream.socket().non_blocking(true, error);
-    const std::size_t read = this->stream.socket().receive(
-        boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error != boost::asio::error::would_block && (error || read == 0);
+    while (!error && this->MayReadAhead()) {
+      const std::size_t read = this->stream.socket().receive(
+          this->buffer.prepare(kStepBytes), 0, error);
+      if (!error && read == 0) {
+        return false;
+      }
+      this->buffer.commit(error ? 0 : read);
+    }
+    return !error || error == boost::asio::error::would_block;
   }
 
+  bool MayReadAhead() const { return this->buffer.size() < kMaxReadAheadBytes; }
+
   bool HasUnreadBytes() {
     error_code error;
     return this->stream.socket().available(error) > 0 && !error;
@@ -361,24 +380,22 @@
 }
 
 // Runs the handler. A DisconnectAwareHandler is notified when the caller closes
-// the connection in the meantime.
+// the connection in the meantime, and not run at all if it has done so already:
+// on a busy loop, a request may wait long after it was read.
 std::optional<HttpResponse> HttpServer::RunHandler(
     const std::shared_ptr<Connection>& connection,
     const HttpRequest& request) {
   if (!this->disconnect_aware_handler) {
     return this->handler(request);
   }
+  if (!connection->ReadAhead()) {
+    connection->caller_disconnected = true;
+    return std::nullopt;
+  }
   const auto notifier = std::make_shared<DisconnectNotifier>();
-  connection->stream.socket().async_wait(
-      tcp::socket::wait_read, [connection, notifier](error_code error) {
-        // Readable bytes are the next request, which is read after this
-        // response.
-        if (!error && connection->CallerDisconnected()) {
-          notifier->NotifyDisconnected();
-        }
-      });
+  WatchCaller(connection, notifier);
   auto answer = this->disconnect_aware_handler(request, *notifier);
-  notifier->OnDisconnect([] {});
+  notifier->Finish();
   error_code ignored;
   connection->stream.socket().cancel(ignored);
   if (notifier->disconnected()) {
@@ -388,4 +405,23 @@
   return answer;
 }
 
+void HttpServer::WatchCaller(
+    const std::shared_ptr<Connection>& connection,
+    const std::shared_ptr<DisconnectNotifier>& notifier) {
+  if (!connection->MayReadAhead()) {
+    return;
+  }
+  connection->stream.socket().async_wait(
+      tcp::socket::wait_read, [connection, notifier](error_code error) {
+        if (error || notifier->finished()) {
+          return;
+        }
+        if (connection->ReadAhead()) {
+          WatchCaller(connection, notifier);
+        } else {
+          notifier->NotifyDisconnected();
+        }
+      });
+}
+
 }  // namespace tanagerledge
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -38,6 +38,8 @@
 };
 
 // Notifies a handler when the caller closes its connection before the response.
+// A caller that closes only its sending direction counts as disconnected too:
+// no client of a mesh does that and then waits, and the two look alike.
 class DisconnectNotifier {
  public:
   bool disconnected() const { return this->is_disconnected; }
@@ -49,8 +51,13 @@
   // Called by the server when the caller has disconnected.
   void NotifyDisconnected();
 
+  // Called by the server when the handler has returned.
+  void Finish();
+  bool finished() const { return this->is_finished; }
+
  private:
   bool is_disconnected = false;
+  bool is_finished = false;
   std::function<void()> on_disconnect;
 };
 
@@ -139,6 +146,8 @@
   std::optional<HttpResponse> RunHandler(
       const std::shared_ptr<Connection>& connection,
       const HttpRequest& request);
+  static void WatchCaller(const std::shared_ptr<Connection>& connection,
+                          const std::shared_ptr<DisconnectNotifier>& notifier);
   void ReportUnanswered(const Connection& connection,
                         const HttpRequest& request,
                         UnansweredRequest::Stage stage,
--- a/tests/adapters/cut_request_test.cc
+++ b/tests/adapters/cut_request_test.cc
@@ -54,6 +54,8 @@
       this->loop.SleepFor(std::chrono::milliseconds(1));
       return {};
     }
+    // A request whose caller has left already isn't run, complete or not.
+    this->loop.SleepFor(std::chrono::milliseconds(5));
     socket.shutdown(tcp::socket::shutdown_send, ignored);
     std::string back;
     Await<std::size_t>([&](auto handler) {
