--- a/include/tanagerledge/attempt_ledger.h
+++ b/include/tanagerledge/attempt_ledger.h
@@ -29,7 +29,8 @@
   kNew,      // Unknown until now; the attempt may be started.
   kRunning,  // Queued for a slot or executing on the backend server.
   kDone,     // Finished; the reply is stored.
-  // Reported as not run before its message arrived. It must never be started.
+  // Cancelled, or reported as not run, before its message was handled. It must
+  // never be started.
   kCancelled,
 };
 
@@ -51,6 +52,12 @@
   // correct.
   AttemptState OnStatusRequest(const std::string& attempt, Instant deadline);
 
+  // Handles a cancellation: an attempt that is still unknown must not be
+  // started later.
+  void OnCancel(const std::string& attempt, Instant deadline) {
+    this->OnStatusRequest(attempt, deadline);
+  }
+
   // Returns the reply of a finished attempt, or null.
   CachedReply ReplyOf(const std::string& attempt) const;
 
--- a/src/adapters/fiber_io.cc
+++ b/src/adapters/fiber_io.cc
@@ -7,10 +7,16 @@
 #include <boost/fiber/scheduler.hpp>
 #include <memory>
 #include <mutex>
+#include <utility>
 
 namespace tanagerledge {
 namespace {
 
+// How long fibers run before the sockets are looked at again. A fiber that
+// begins to run knows what had arrived by then, such as the close of its
+// caller's connection, however many fibers were ready before it.
+constexpr std::chrono::milliseconds kMaxTimeWithoutPoll{5};
+
 // Fiber scheduler that runs ready fibers in FIFO order and waits in the
 // io_context when none is ready. I/O handlers run only in the dispatcher's
 // context: a handler that wakes the fiber which is being switched out at that
@@ -19,14 +25,28 @@
  public:
   explicit IoAlgorithm(boost::asio::io_context& io_context) : io(io_context) {}
 
+  // The dispatcher is kept apart from the other fibers: in their queue, it
+  // would look at the sockets only once for each round of all ready fibers.
   void awakened(boost::fibers::context* context) noexcept override {
-    context->ready_link(this->ready);
+    if (context->is_context(boost::fibers::type::dispatcher_context)) {
+      this->dispatcher = context;
+    } else {
+      context->ready_link(this->ready);
+    }
   }
 
   boost::fibers::context* pick_next() noexcept override {
-    this->PollWhenBusy();
+    const bool in_dispatcher = boost::fibers::context::active()->is_context(
+        boost::fibers::type::dispatcher_context);
+    if (!this->ready.empty() && this->IsPollDue()) {
+      if (in_dispatcher) {
+        this->Poll();
+      } else if (this->dispatcher != nullptr) {
+        return std::exchange(this->dispatcher, nullptr);
+      }
+    }
     if (this->ready.empty()) {
-      return nullptr;
+      return std::exchange(this->dispatcher, nullptr);
     }
     boost::fibers::context* const next = &this->ready.front();
     this->ready.pop_front();
@@ -44,7 +64,7 @@
     } else {
       this->io.run_one_until(until);
     }
-    this->io.poll();
+    this->Poll();
   }
 
   void notify() noexcept override {
@@ -52,23 +72,20 @@
   }
 
  private:
-  // Polls the io_context now and then while fibers are ready; otherwise fibers
-  // that are always ready would starve the sockets.
-  void PollWhenBusy() noexcept {
-    constexpr int kSwitchesPerPoll = 4;
-    const bool in_dispatcher = boost::fibers::context::active()->is_context(
-        boost::fibers::type::dispatcher_context);
-    if (!in_dispatcher || this->ready.empty()) {
-      return;
-    }
-    if (++this->switches % kSwitchesPerPoll == 0) {
-      this->io.poll();
-    }
+  bool IsPollDue() const {
+    return std::chrono::steady_clock::now() - this->last_poll >=
+           kMaxTimeWithoutPoll;
+  }
+
+  void Poll() noexcept {
+    this->io.poll();
+    this->last_poll = std::chrono::steady_clock::now();
   }
 
   boost::asio::io_context& io;
   boost::fibers::scheduler::ready_queue_type ready;
-  unsigned switches = 0;
+  boost::fibers::context* dispatcher = nullptr;  // Set while it is ready.
+  std::chrono::steady_clock::time_point last_poll{};
 };
 
 }  // namespace
--- a/src/adapters/peer_transport.cc
+++ b/src/adapters/peer_transport.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -361,24 +362,55 @@
 
   // Reading -----------------------------------------------------------------
 
+  // Waits until the connection ends. Frames are handled as soon as they arrive,
+  // not in a fiber: on a busy loop, a cancellation would wait behind the fibers
+  // of the calls that it is about.
   void ReadFrames() {
-    std::string buffer;
-    std::vector<char> chunk(kReadChunkBytes);
-    while (true) {
-      const auto read = Await<std::size_t>([&](auto handler) {
-        this->socket.async_read_some(boost::asio::buffer(chunk),
-                                     std::move(handler));
-      });
-      if (!read) {
-        return;
+    AwaitError([this](auto ended) {
+      this->on_read_end = std::move(ended);
+      this->WaitForBytes();
+    });
+  }
+
+  void WaitForBytes() {
+    this->socket.async_wait(tcp::socket::wait_read,
+                            [self = this->shared_from_this()](
+                                error_code error) { self->OnReadable(error); });
+  }
+
+  void OnReadable(error_code error) {
+    if (!error) {
+      error = this->ReadAvailable();
+    }
+    if (error) {
+      std::exchange(this->on_read_end, nullptr)(error);
+    } else {
+      this->WaitForBytes();
+    }
+  }
+
+  // Reads and handles what has arrived. An error ends the connection.
+  error_code ReadAvailable() {
+    error_code error;
+    this->socket.non_blocking(true, error);
+    std::vector<char>& chunk = this->transport.read_chunk;
+    std::size_t read = chunk.size();
+    while (!error && read == chunk.size()) {
+      read = this->socket.receive(boost::asio::buffer(chunk), 0, error);
+      if (!error && read == 0) {
+        error = boost::asio::error::eof;
+      }
+      if (error) {
+        break;
       }
       this->last_received_at = Now();
-      buffer.append(chunk.data(), read.value);
-      if (!this->HandleFrames(buffer)) {
+      this->unhandled.append(chunk.data(), read);
+      if (!this->HandleFrames(this->unhandled)) {
         ++this->transport.counters.bad_frames;
-        return;
+        error = boost::asio::error::invalid_argument;
       }
     }
+    return error == boost::asio::error::would_block ? error_code() : error;
   }
 
   // Handles the complete frames in the buffer and removes them. False when the
@@ -396,6 +428,9 @@
       state = ParseFrame(rest, frame, used);
     }
     buffer.erase(0, buffer.size() - rest.size());
+    if (buffer.empty() && buffer.capacity() > kReadChunkBytes) {
+      std::string().swap(buffer);  // Frees the memory of a large frame.
+    }
     return state != ParseState::kBad;
   }
 
@@ -510,6 +545,9 @@
   Instant last_received_at{};   // When bytes last arrived.
   Instant first_pending_at{};   // When replies last became pending.
 
+  std::string unhandled;  // Received bytes of an incomplete frame.
+  std::function<void(error_code)> on_read_end;  // Set while frames are read.
+
   std::deque<QueuedFrame> queued;  // Waits for the write in progress.
   std::size_t queued_bytes = 0;
   std::string writing;  // Passed to the socket; being written.
@@ -527,7 +565,8 @@
     : loop(io_loop),
       identity(own),
       handlers(peer_handlers),
-      counters(peer_counters) {}
+      counters(peer_counters),
+      read_chunk(kReadChunkBytes) {}
 
 PeerTransport::~PeerTransport() = default;
 
--- a/src/adapters/peer_transport.h
+++ b/src/adapters/peer_transport.h
@@ -7,7 +7,7 @@
 //
 // Each loop has its own PeerTransport and uses only that one. Handlers run on
 // the loop that received the frame: request handlers in a fiber for each
-// request, and message handlers in the connection's fiber.
+// request, and message handlers outside any fiber, so that they must not wait.
 
 #ifndef TANAGERLEDGE_SRC_ADAPTERS_PEER_TRANSPORT_H_
 #define TANAGERLEDGE_SRC_ADAPTERS_PEER_TRANSPORT_H_
@@ -23,6 +23,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "src/adapters/fiber_io.h"
 #include "src/adapters/net.h"
@@ -135,6 +136,7 @@
   const PeerIdentity& identity;
   const PeerHandlers& handlers;
   PeerCounters& counters;
+  std::vector<char> read_chunk;  // Shared by all connections.
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   std::unordered_map<NodeId, std::shared_ptr<PeerConnection>> outgoing;
   std::set<std::shared_ptr<PeerConnection>> incoming;
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -41,6 +41,8 @@
 // server may be detected this long after it.
 constexpr milliseconds kLostCallRetention{1000};
 constexpr int kDeathChecks = 2;
+// How long a cancellation is kept for a call that has not begun.
+constexpr milliseconds kUnstartedCallRetention{10'000};
 // The backend server queues a health check for a slot like any request. The
 // next heartbeat, 1.5 s later, starts a new one.
 constexpr milliseconds kHealthCheckTimeout{1000};
@@ -91,7 +93,8 @@
   const SendKey key = SendKeyOf(from, request->send_id);
   const AttemptState before = this->ledger.OnRun(key, deadline);
   if (before == AttemptState::kCancelled) {
-    return Encode(NotRun(Reason::kDuplicate, "this send was declared void"));
+    return Encode(
+        NotRun(Reason::kDuplicate, "this send was cancelled or declared void"));
   }
   if (before != AttemptState::kNew) {
     return Encode(MakeReply(Outcome::kUnknown, Reason::kDuplicate,
@@ -144,8 +147,11 @@
 }
 
 void BackendGateway::Cancel(const NodeId& from, std::int64_t send_id) {
-  const auto found = this->by_send.find(SendKeyOf(from, send_id));
+  const SendKey key = SendKeyOf(from, send_id);
+  const auto found = this->by_send.find(key);
   if (found == this->by_send.end()) {
+    // The call may have arrived in the same read, and its fiber not run yet.
+    this->ledger.OnCancel(key, Now() + kUnstartedCallRetention);
     return;
   }
   const CallPtr call = this->calls.at(found->second);
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -331,11 +331,7 @@
   all.on_message[index(Channel::kSend)] = [this](const NodeId& from,
                                                  std::string_view bytes) {
     if (const auto cancel = Decode<wire::SendCancel>(bytes)) {
-      // In a new fiber, so that it runs after the fiber of the call, which may
-      // have arrived in the same read.
-      this->loop.SpawnHere([this, from, id = cancel->send_id] {
-        this->gateway.Cancel(from, id);
-      });
+      this->gateway.Cancel(from, cancel->send_id);
     }
   };
   all.on_request[index(Channel::kConfig)] = [this](const NodeId&,
--- a/tests/sidecar/backend_gateway_test.cc
+++ b/tests/sidecar/backend_gateway_test.cc
@@ -16,6 +16,7 @@
 #include "fakes/scripted_backend.h"
 #include "platform/platform.h"
 #include "src/adapters/clock.h"
+#include "src/adapters/codec.h"
 #include "src/node/call_messages.h"
 
 namespace tanagerledge {
@@ -137,6 +138,33 @@
   std::int64_t sends = 0;
 };
 
+// Both arrive in one read; the fiber of the call begins later.
+TEST_F(BackendGatewayTest, CancelledBeforeItsFiberBegins_IsNotSent) {
+  int sent = 0;
+  this->RunWithBackend(
+      [&sent](const HttpRequest& asked, int) {
+        ++sent;
+        return std::vector<Part>{
+            {Success(std::string(asked.Header("X-Attempt-Id")))}};
+      },
+      [this] {
+        wire::CallRequest request;
+        request.service_name = "claims";
+        request.method = "POST";
+        request.target = "/x/1";
+        request.route = "claims";
+        request.attempt_id = "a";
+        request.remaining_us = microseconds(kCallTimeout).count();
+        request.send_id = 7;
+        this->gateway.Cancel({"peer"}, request.send_id);
+        const auto reply = Decode<wire::CallReply>(
+            this->gateway.RunForPeer({"peer"}, Encode(request)));
+        ASSERT_TRUE(reply.has_value());
+        ExpectNotRun(*reply);
+      });
+  EXPECT_EQ(sent, 0);
+}
+
 // A health check for the previous instance is answered with the name of the new
 // one. After that instance has left, the backend server repeats this answer
 // before the correct one. The repeated answer must not bring the instance back.
