--- a/apps/tanagerledged_main.cc
+++ b/apps/tanagerledged_main.cc
@@ -23,6 +23,9 @@
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr int kExitBadUsage = 2;
+constexpr std::size_t kBytesPerMebibyte = 1024 * 1024;
+constexpr std::size_t kMinMemoryMb = 16;
+constexpr std::size_t kMaxMemoryMb = 1024 * 1024;
 
 // A changed settings file must be in force within 2 s; checking twice as often
 // leaves time to apply it.
@@ -104,6 +107,9 @@
       "Runs one node of the mesh, next to one backend server.");
   options.add_options()("settings", "INI file with the node's settings",
                         cxxopts::value<std::string>())(
+      "memory-mb", "Memory that the process may use, in MiB",
+      cxxopts::value<std::size_t>()->default_value(std::to_string(
+          tanagerledge::kDefaultMemoryBytes / kBytesPerMebibyte)))(
       "check", "Check the settings and exit")("h,help", "Show this help");
   options.parse_positional({"settings"});
   options.positional_help("SETTINGS.ini");
@@ -118,11 +124,18 @@
     }
     // Created before the file is read, so that a change in between is noticed.
     tanagerledge::SettingsWatcher watch(*path);
-    const auto settings = tanagerledge::ReadSettings(*path);
+    auto settings = tanagerledge::ReadSettings(*path);
     if (!settings) {
       PrintFaults(*path, settings.error());
       return kExitBadUsage;
     }
+    const auto memory_mb = arguments["memory-mb"].as<std::size_t>();
+    if (memory_mb < kMinMemoryMb || memory_mb > kMaxMemoryMb) {
+      std::cerr << "tanagerledged: --memory-mb must be from " << kMinMemoryMb
+                << " to " << kMaxMemoryMb << "\n";
+      return kExitBadUsage;
+    }
+    settings->memory_bytes = memory_mb * kBytesPerMebibyte;
     if (arguments.count("check") > 0) {
       std::cout << *path << ": good\n";
       return kExitOk;
--- a/include/tanagerledge/outcome.h
+++ b/include/tanagerledge/outcome.h
@@ -33,6 +33,8 @@
   kShuttingDown = 15,
   // A service that this kind of call depends on rejects calls.
   kDependencyOverloaded = 16,
+  // It ran, but its answer is too long for this node or for another one.
+  kAnswerTooLong = 17,
 };
 
 std::string_view ToText(Outcome outcome);
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -7,13 +7,15 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <functional>
 #include <iterator>
+#include <limits>
 #include <optional>
 
+#include "src/adapters/accounted_body.h"
 #include "src/adapters/clock.h"
 #include "src/adapters/http_framing.h"
 
@@ -36,10 +38,13 @@
 // skipped. The limit ends exchanges with a server that sends them endlessly.
 constexpr int kMaxStrayResponses = 8;
 
-http::request<http::string_body> ToBeast(const HttpRequest& from,
-                                         std::string_view host) {
+using BodyView = http::span_body<const char>;
+
+http::request<BodyView> ToBeast(const HttpRequest& from,
+                                std::string_view body,
+                                std::string_view host) {
   constexpr unsigned kHttp11 = 11;
-  http::request<http::string_body> request;
+  http::request<BodyView> request;
   request.version(kHttp11);
   request.method_string(from.method);
   request.target(from.target);
@@ -51,10 +56,10 @@
       request.insert(header.name, header.value);
     }
   });
-  request.body() = from.body;
-  if (request.method() == http::verb::trace && !from.body.empty()) {
+  request.body() = {body.data(), body.size()};
+  if (request.method() == http::verb::trace && !body.empty()) {
     // prepare_payload throws for a TRACE request with a body.
-    request.content_length(from.body.size());
+    request.content_length(body.size());
   } else {
     request.prepare_payload();
   }
@@ -82,7 +87,7 @@
              : std::nullopt;
 }
 
-HttpResponse FromBeast(http::response<http::string_body>&& from) {
+HttpResponse FromBeast(http::response<AccountedBody>&& from) {
   HttpResponse response;
   response.status = static_cast<int>(from.result_int());
   std::ranges::transform(from.base(), std::back_inserter(response.headers),
@@ -90,7 +95,7 @@
                            return HttpHeader{ToString(field.name_string()),
                                              ToString(field.value())};
                          });
-  response.body = std::move(from.body());
+  response.body = std::move(from.body().text);
   return response;
 }
 
@@ -232,7 +237,7 @@
 tl::expected<HttpClient::ConnectionPtr, HttpError> HttpClient::Connect(
     Instant deadline) {
   if (this->closed) {
-    return tl::unexpected(HttpError{false, "the client is closed"});
+    return tl::unexpected(HttpError{false, false, "the client is closed"});
   }
   auto connection = std::make_shared<Connection>(this->loop.context());
   this->busy.insert(connection.get());
@@ -243,8 +248,9 @@
   });
   this->busy.erase(connection.get());
   if (error) {
-    return tl::unexpected(HttpError{
-        false, "cannot connect to " + this->host + ": " + error.message()});
+    return tl::unexpected(
+        HttpError{false, false,
+                  "cannot connect to " + this->host + ": " + error.message()});
   }
   boost::system::error_code ignored;
   tcp::socket& socket = connection->stream.socket();
@@ -266,24 +272,27 @@
     const HttpRequest& request,
     const ExchangeOptions& exchange) {
   if (exchange.may_send && !exchange.may_send()) {
-    return tl::unexpected(HttpError{false, "cancelled before it was sent"});
+    return tl::unexpected(
+        HttpError{false, false, "cancelled before it was sent"});
   }
   connection.reusable = false;
   if (!exchange.id.empty()) {
     connection.used_ids.push_back(Connection::HashOf(exchange.id));
   }
-  const auto message = ToBeast(request, this->host);
+  const auto message =
+      ToBeast(request, exchange.body.value_or(request.body), this->host);
   const auto written = Await<std::size_t>([&](auto handler) {
     http::async_write(connection.stream, message, std::move(handler));
   });
   if (!written) {
     return tl::unexpected(HttpError{
-        written.value > 0,
+        written.value > 0, false,
         "cannot send to " + this->host + ": " + written.error.message()});
   }
   for (int stray_responses = 0; stray_responses <= kMaxStrayResponses;
        ++stray_responses) {
-    auto response = this->ReadResponse(connection, request.method == "HEAD");
+    auto response = this->ReadResponse(connection, request.method == "HEAD",
+                                       exchange.response_room);
     const bool is_own_response =
         response && response->status >= kFirstFinalStatus &&
         (!exchange.matches_request || exchange.matches_request(*response));
@@ -299,15 +308,22 @@
     }
   }
   connection.reusable = false;
-  return tl::unexpected(
-      HttpError{true, "only responses to other requests from " + this->host});
+  return tl::unexpected(HttpError{
+      true, false, "only responses to other requests from " + this->host});
 }
 
 tl::expected<HttpResponse, HttpError> HttpClient::ReadResponse(
     Connection& connection,
-    bool head_only) {
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(this->options.max_body_bytes);
+    bool head_only,
+    ByteReservation* room) {
+  http::response_parser<AccountedBody> parser;
+  // Beast checks its own limit only for responses without a length.
+  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  parser.get().body().max_bytes = this->options.max_body_bytes;
+  parser.get().body().max_stated_bytes =
+      this->options.max_stated_body_bytes.value_or(
+          this->options.max_body_bytes);
+  parser.get().body().reservation = room;
   parser.skip(head_only);
   connection.reusable = false;
   const auto read = Await<std::size_t>([&](auto handler) {
@@ -315,12 +331,15 @@
                      std::move(handler));
   });
   if (!read) {
+    const bool too_long = read.error == AccountedBody::NoRoom() ||
+                          read.error == http::error::body_limit;
     return tl::unexpected(HttpError{
-        true, "no answer from " + this->host + ": " + read.error.message()});
+        true, too_long,
+        "no answer from " + this->host + ": " + read.error.message()});
   }
   if (!HasSupportedFraming(parser.get())) {
     return tl::unexpected(HttpError{
-        true,
+        true, false,
         "response with an unsupported transfer coding from " + this->host});
   }
   // Stop reusing it one second earlier: the server's timer started when it sent
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -19,12 +19,14 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "tanagerledge/byte_account.h"
 #include "tanagerledge/types.h"
 
 namespace tanagerledge {
@@ -33,11 +35,15 @@
   // False only when it is certain that no byte of the request left this
   // process.
   bool may_have_arrived = false;
+  // The response is too long, or there is no room for it in memory.
+  bool response_too_long = false;
   std::string text;
 };
 
 struct HttpClientOptions {
   std::size_t max_body_bytes = 1024 * 1024;
+  // The same for a response that states its length; unset: no difference.
+  std::optional<std::size_t> max_stated_body_bytes = std::nullopt;
   std::size_t max_idle_connections = 4;
   // A connection that was idle for longer than this is not reused, so that a
   // request doesn't race with the server closing it. A shorter time in the
@@ -58,6 +64,11 @@
   // the same id, so that a duplicate of an earlier response is not taken for
   // the response to this request.
   std::string id;
+  // Sent in place of the request's own body, without a copy; must outlive the
+  // exchange.
+  std::optional<std::string_view> body;
+  // Reserves the room for the response's body; null: no limit but the client's.
+  ByteReservation* response_room = nullptr;
   // Uses a new connection: for requests whose responses carry no id.
   bool force_new_connection = false;
   // False for a response after which the connection must not be reused, so that
@@ -108,7 +119,8 @@
       const HttpRequest& request,
       const ExchangeOptions& exchange);
   tl::expected<HttpResponse, HttpError> ReadResponse(Connection& connection,
-                                                     bool head_only);
+                                                     bool head_only,
+                                                     ByteReservation* room);
   // Returns the connection to the pool, or closes it if it can't be reused.
   void ReleaseConnection(ConnectionPtr connection);
   // Closes an idle connection as soon as the server closes it or sends bytes,
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <utility>
 
+#include "src/adapters/accounted_body.h"
 #include "src/adapters/clock.h"
 #include "src/adapters/http_framing.h"
 
@@ -25,9 +26,9 @@
 
 namespace {
 
-using BeastRequest = http::request<http::string_body>;
+using BeastRequest = http::request<AccountedBody>;
 using BeastResponse = http::response<http::string_body>;
-using RequestParser = http::request_parser<http::string_body>;
+using RequestParser = http::request_parser<AccountedBody>;
 
 // A caller closes the connection once it has read its last response: on the
 // same machine within some ms, and never if it hangs.
@@ -49,7 +50,7 @@
     request.headers.push_back(
         {ToString(field.name_string()), ToString(field.value())});
   }
-  request.body = std::move(from.body());
+  request.body = std::move(from.body().text);
   return request;
 }
 
@@ -147,7 +148,7 @@
   void Linger() {
     error_code ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    this->stream.expires_after(kLingerTimeout);
+    this->stream.expires_after(this->linger_timeout);
     std::array<char, 1024> unread{};
     IoResult<std::size_t> read;
     while (!read.error) {
@@ -165,6 +166,8 @@
   beast::flat_buffer buffer;
   const RequestParser* parser = nullptr;  // Set while reading a request.
   Phase phase = Phase::kIdle;
+  unsigned version = 0;  // Of the last request: 10 or 11.
+  std::chrono::milliseconds linger_timeout = kLingerTimeout;
   Instant read_at{};      // When the last request was completely read.
   bool answered = false;  // A response was sent on this connection.
   bool caller_disconnected = false;  // Before its response.
@@ -277,7 +280,10 @@
 bool HttpServer::ServeOne(const std::shared_ptr<Connection>& held) {
   Connection& connection = *held;
   connection.phase = Connection::Phase::kIdle;
+  // Counts the request's body until its response is written.
+  ByteReservation reservation(this->account);
   RequestParser parser;
+  parser.get().body().reservation = &reservation;
   parser.body_limit(this->limits.max_body_bytes);
   // With this limit, no header or trailer field exceeds what Beast can store.
   // Beast would throw an exception that can't be caught here.
@@ -293,11 +299,18 @@
   bool read = header && HasSupportedFraming(parser.get());
   if (read) {
     connection.phase = Connection::Phase::kReading;
+    connection.version = parser.get().version();
     connection.stream.expires_after(this->limits.read_timeout);
-    read = static_cast<bool>(Await<std::size_t>([&](auto done) {
+    const auto body = Await<std::size_t>([&](auto done) {
       http::async_read(connection.stream, connection.buffer, parser,
                        std::move(done));
-    }));
+    });
+    if (body.error == AccountedBody::NoRoom()) {
+      connection.parser = nullptr;
+      this->RejectBody(connection, FromBeast(parser.release()));
+      return false;
+    }
+    read = static_cast<bool>(body);
   }
   connection.parser = nullptr;
   // A connection that was closed while the last bytes arrived can't be
@@ -306,9 +319,8 @@
     return false;
   }
   connection.stream.expires_never();
-  const unsigned version = parser.get().version();
   const bool keep_alive = parser.get().keep_alive();
-  const HttpRequest request = FromBeast(parser.release());
+  HttpRequest request = FromBeast(parser.release());
   connection.phase = Connection::Phase::kHandling;
   connection.read_at = Now();
   std::optional<HttpResponse> answer = this->RunHandler(held, request);
@@ -317,11 +329,20 @@
                            UnansweredRequest::Stage::kNoResponse);
     return false;
   }
+  return this->WriteResponse(connection, std::move(*answer), request,
+                             keep_alive && !this->draining && !this->closing);
+}
+
+// Returns false when the connection must be closed.
+bool HttpServer::WriteResponse(Connection& connection,
+                               HttpResponse&& answer,
+                               const HttpRequest& request,
+                               bool keep_alive) {
+  ByteReservation reservation(this->account);
+  reservation.HoldAtLeast(answer.body.size());
   connection.phase = Connection::Phase::kWriting;
-  BeastResponse response =
-      ToBeast(std::move(*answer), version,
-              keep_alive && !this->draining && !this->closing,
-              request.method == "HEAD");
+  BeastResponse response = ToBeast(std::move(answer), connection.version,
+                                   keep_alive, request.method == "HEAD");
   connection.stream.expires_after(this->limits.read_timeout);
   const auto written = Await<std::size_t>([&](auto done) {
     http::async_write(connection.stream, response, std::move(done));
@@ -338,6 +359,16 @@
   return written && response.keep_alive();
 }
 
+// The rest of the body is read and dropped: closing the connection at once
+// would reset it, and the caller might lose the response.
+void HttpServer::RejectBody(Connection& connection,
+                            const HttpRequest& request) {
+  connection.read_at = Now();
+  connection.linger_timeout = this->limits.read_timeout;
+  this->WriteResponse(connection, this->respond_no_room(request), request,
+                      false);
+}
+
 void HttpServer::ReportUnanswered(const Connection& connection,
                                   const HttpRequest& request,
                                   UnansweredRequest::Stage stage,
@@ -384,7 +415,7 @@
 // on a busy loop, a request may wait long after it was read.
 std::optional<HttpResponse> HttpServer::RunHandler(
     const std::shared_ptr<Connection>& connection,
-    const HttpRequest& request) {
+    HttpRequest& request) {
   if (!this->disconnect_aware_handler) {
     return this->handler(request);
   }
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -26,6 +26,8 @@
 #include <set>
 #include <string>
 
+#include "tanagerledge/byte_account.h"
+
 namespace tanagerledge {
 
 // Limits per connection, and the maximum number of connections.
@@ -81,10 +83,15 @@
   using Handler =
       std::function<std::optional<HttpResponse>(const HttpRequest&)>;
   // A handler that is notified when its caller disconnects.
+  // It may move the request's body away.
   using DisconnectAwareHandler =
-      std::function<std::optional<HttpResponse>(const HttpRequest&,
+      std::function<std::optional<HttpResponse>(HttpRequest&,
                                                 DisconnectNotifier&)>;
 
+  // Makes the response to a request whose body finds no room in memory; must
+  // not wait. The request has no body.
+  using NoRoomResponder = std::function<HttpResponse(const HttpRequest&)>;
+
   // Called for each request that ends without a response; must not wait.
   using UnansweredObserver =
       std::function<void(const HttpRequest&, const UnansweredRequest&)>;
@@ -132,6 +139,14 @@
   std::size_t open_connections() const { return this->connections.size(); }
   ConnectionCounts CountConnections() const;
 
+  // Counts bodies in the account, which must outlive the server. A request
+  // whose body finds no room is answered by `responder` before its body is
+  // read, and its connection is closed.
+  void SetByteAccount(ByteAccount& byte_account, NoRoomResponder responder) {
+    this->account = &byte_account;
+    this->respond_no_room = std::move(responder);
+  }
+
   void SetUnansweredObserver(UnansweredObserver observer) {
     this->on_unanswered = std::move(observer);
   }
@@ -145,7 +160,12 @@
   bool ServeOne(const std::shared_ptr<Connection>& connection);
   std::optional<HttpResponse> RunHandler(
       const std::shared_ptr<Connection>& connection,
-      const HttpRequest& request);
+      HttpRequest& request);
+  bool WriteResponse(Connection& connection,
+                     HttpResponse&& answer,
+                     const HttpRequest& request,
+                     bool keep_alive);
+  void RejectBody(Connection& connection, const HttpRequest& request);
   static void WatchCaller(const std::shared_ptr<Connection>& connection,
                           const std::shared_ptr<DisconnectNotifier>& notifier);
   void ReportUnanswered(const Connection& connection,
@@ -157,6 +177,8 @@
   Handler handler;  // Exactly one of the two handlers is set.
   DisconnectAwareHandler disconnect_aware_handler;
   UnansweredObserver on_unanswered;
+  ByteAccount* account = nullptr;  // Null: bodies are not counted.
+  NoRoomResponder respond_no_room;
   HttpLimits limits;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   std::set<std::shared_ptr<Connection>> connections;
--- a/src/adapters/peer_transport.cc
+++ b/src/adapters/peer_transport.cc
@@ -167,7 +167,7 @@
   }
 
   tl::expected<std::string, PeerError> Request(Channel channel,
-                                               std::string_view request,
+                                               std::string request,
                                                Instant deadline) {
     if (this->failed || this->queued_bytes > kMaxQueuedBytes) {
       return tl::unexpected(PeerError{
@@ -180,6 +180,7 @@
     Pending waiting;
     this->pending.emplace(id, &waiting);
     this->Queue({channel, FrameKind::kRequest, id, request});
+    std::string().swap(request);  // Frees its memory during the wait.
     auto reply = waiting.reply.WaitUntil(deadline);
     this->pending.erase(id);
     if (reply.has_value()) {
@@ -491,7 +492,11 @@
     this->transport.loop.SpawnHere([self = this->shared_from_this(), &handler,
                                     channel = frame.channel, id = frame.id,
                                     request = std::string(frame.payload)] {
-      const std::string reply = handler(self->peer, request);
+      std::string reply = handler(self->peer, request);
+      if (reply.size() > kMaxFrameBytes) {
+        ++self->transport.counters.oversized_replies;
+        reply.clear();  // Not readable, so that only this request fails.
+      }
       if (!self->failed) {
         self->Queue({channel, FrameKind::kReply, id, reply});
       }
@@ -715,7 +720,7 @@
   }
   const Instant deadline = Now() + timeout;
   const std::shared_ptr<PeerConnection> connection = this->ConnectionTo(to);
-  return connection->Request(channel, request, deadline);
+  return connection->Request(channel, std::move(request), deadline);
 }
 
 }  // namespace tanagerledge
--- a/src/adapters/peer_transport.h
+++ b/src/adapters/peer_transport.h
@@ -60,6 +60,8 @@
   std::atomic<std::uint64_t> hellos_rejected{0};
   std::atomic<std::uint64_t> bad_frames{0};
   std::atomic<std::uint64_t> connects{0};
+  // Replies that were too long for a frame and sent empty.
+  std::atomic<std::uint64_t> oversized_replies{0};
 };
 
 // Keepalive of outgoing connections, which detects peers that stop responding
--- a/src/adapters/settings.h
+++ b/src/adapters/settings.h
@@ -40,6 +40,8 @@
   std::chrono::milliseconds retry_window{10000};
 };
 
+inline constexpr std::size_t kDefaultMemoryBytes = 256 * 1024 * 1024;
+
 struct Settings {
   // [node]
   ConfigSource source = ConfigSource::kNotes;
@@ -80,6 +82,9 @@
   // [bounds]
   FleetBounds bounds;
 
+  // Memory that the process may use, in bytes. From the command line.
+  std::size_t memory_bytes = kDefaultMemoryBytes;
+
   // [delays]: zone = time. Delay added to frames sent to nodes of that zone;
   // for experiments only.
   std::map<Zone, std::chrono::microseconds> delays;
--- a/src/execution/outcome.cc
+++ b/src/execution/outcome.cc
@@ -9,7 +9,7 @@
 constexpr std::array<std::string_view, 3> kOutcomeTexts = {"ok", "not-run",
                                                            "unknown"};
 
-constexpr std::array<std::string_view, 17> kReasonTexts = {
+constexpr std::array<std::string_view, 18> kReasonTexts = {
     "none",
     "no-route",
     "node-not-ready",
@@ -26,7 +26,8 @@
     "bad-request",
     "session-behind",
     "shutting-down",
-    "dependency-overloaded"};
+    "dependency-overloaded",
+    "answer-too-long"};
 
 }  // namespace
 
--- a/src/node/backend_link.cc
+++ b/src/node/backend_link.cc
@@ -11,7 +11,9 @@
 // A backend server accepts 110 to 130 connections. Its slots limit how many are
 // in use; this limits how many one worker keeps idle.
 constexpr std::size_t kMaxIdleConnections = 16;
-constexpr std::size_t kMaxAnswerBytes = 2 * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = 64 * 1024 * 1024;
+// An answer without a length may go on for ever.
+constexpr std::size_t kMaxUnstatedAnswerBytes = 2 * 1024 * 1024;
 // Backend servers close idle connections after about 10 s, and most of them
 // announce their timeout. For those that don't, idle connections are not reused
 // after this time.
@@ -31,7 +33,8 @@
   }
   HttpClientOptions options;
   options.max_idle_connections = kMaxIdleConnections;
-  options.max_body_bytes = kMaxAnswerBytes;
+  options.max_body_bytes = kMaxUnstatedAnswerBytes;
+  options.max_stated_body_bytes = kMaxAnswerBytes;
   options.max_idle_time = kMaxIdleTime;
   options.connect_timeout = kConnectTimeout;
   this->client = std::make_shared<HttpClient>(this->loop, *address, options);
@@ -46,7 +49,8 @@
     const ExchangeOptions& exchange) {
   const std::shared_ptr<HttpClient> held = this->ClientFor(backend);
   if (!held) {
-    return tl::unexpected(HttpError{false, "the address is not ip:port"});
+    return tl::unexpected(
+        HttpError{false, false, "the address is not ip:port"});
   }
   return held->Send(request, timeout, exchange);
 }
--- a/src/node/call_messages.cc
+++ b/src/node/call_messages.cc
@@ -56,7 +56,7 @@
 }
 
 Reason ReasonOf(const wire::CallReply& reply) {
-  return ToEnumOr(reply.reason, Reason::kDependencyOverloaded, Reason::kNone);
+  return ToEnumOr(reply.reason, Reason::kAnswerTooLong, Reason::kNone);
 }
 
 FinishKind FinishKindOf(const wire::CallReply& reply) {
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -5,8 +5,10 @@
 #include <utility>
 #include <variant>
 
+#include "src/adapters/accounted_body.h"
 #include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
+#include "src/adapters/peer_transport.h"
 #include "src/node/call_messages.h"
 
 namespace tanagerledge {
@@ -84,6 +86,10 @@
 
 std::string BackendGateway::RunForPeer(const NodeId& from,
                                        std::string_view bytes) {
+  ByteReservation room(this->account);
+  if (!room.GrowTo(RoomFor(bytes.size()))) {
+    return Encode(NotRun(Reason::kOverloaded, "no memory for its body"));
+  }
   const auto request = Decode<wire::CallRequest>(bytes);
   if (!request) {
     return Encode(NotRun(Reason::kBadRequest, "the call is not readable"));
@@ -100,8 +106,7 @@
     return Encode(MakeReply(Outcome::kUnknown, Reason::kDuplicate,
                             "this send arrived before"));
   }
-  const auto reply =
-      std::make_shared<const std::string>(Encode(this->Run(from, *request)));
+  const CachedReply reply = this->EncodeForPeer(this->Run(from, *request));
   this->ledger.OnDone(key, reply);
   const auto asked = this->reply_waiters.extract(key);
   if (!asked.empty()) {
@@ -112,6 +117,25 @@
   return *reply;
 }
 
+// A reply that doesn't fit into a frame fails alone: sent as it is, it would
+// end the connection with all calls on it. A kept reply counts as long as it
+// lives.
+CachedReply BackendGateway::EncodeForPeer(wire::CallReply reply) {
+  std::string bytes = Encode(reply);
+  if (bytes.size() > kMaxFrameBytes) {
+    reply.outcome = static_cast<std::int32_t>(Outcome::kUnknown);
+    reply.reason = static_cast<std::int32_t>(Reason::kAnswerTooLong);
+    reply.detail = "its answer is too long to pass between nodes";
+    reply.headers.clear();
+    std::string().swap(reply.body);
+    bytes = Encode(reply);
+  }
+  const auto held = std::make_shared<ByteReservation>(this->account);
+  held->HoldAtLeast(bytes.size());
+  return {new std::string(std::move(bytes)),
+          [held](const std::string* kept) { delete kept; }};
+}
+
 std::string BackendGateway::AwaitSendResult(const NodeId& from,
                                             std::string_view bytes) {
   const auto question = Decode<wire::SendQuestion>(bytes);
@@ -363,6 +387,9 @@
     return !withdrawn;
   };
   exchange.cancel = &call.abort_exchange;
+  exchange.body = request.body;
+  ByteReservation answer_room(this->account);
+  exchange.response_room = &answer_room;
   auto answer = this->link.Send({backend.address}, out,
                                 remaining + kAnswerMargin, exchange);
   if (withdrawn) {
@@ -437,7 +464,7 @@
 
 wire::CallReply BackendGateway::OnNoAnswer(Call& call, const HttpError& error) {
   const bool by_deadline = Now() >= call.deadline;
-  if (!by_deadline && !this->aborting) {
+  if (!by_deadline && !this->aborting && !error.response_too_long) {
     this->OnConnectionLost(call);
   }
   this->events.Write(
@@ -452,6 +479,10 @@
     return NotRun(Reason::kBackendRefused,
                   "the backend server was not reached");
   }
+  if (error.response_too_long) {
+    return MakeReply(Outcome::kUnknown, Reason::kAnswerTooLong,
+                     "there is no room for its answer");
+  }
   return MakeReply(Outcome::kUnknown,
                    by_deadline ? Reason::kDeadline : Reason::kConnectionLost,
                    "no answer from the backend server");
@@ -618,6 +649,10 @@
   return leaving ? EndpointState::kDraining : this->BackendState();
 }
 
+bool BackendGateway::Serves(const ServiceName& service) const {
+  return this->IsServing(service, Now());
+}
+
 EndpointState BackendGateway::BackendState() const {
   return this->life.State(Now());
 }
--- a/src/sidecar/backend_gateway.h
+++ b/src/sidecar/backend_gateway.h
@@ -31,6 +31,7 @@
 #include "src/sidecar/platform_port.h"
 #include "tanagerledge/attempt_ledger.h"
 #include "tanagerledge/backend_life.h"
+#include "tanagerledge/byte_account.h"
 #include "tanagerledge/dependency_throttle.h"
 #include "tanagerledge/slot_queue.h"
 #include "tanagerledge/stop_plan.h"
@@ -46,6 +47,11 @@
                  BackendLifeConfig life_config,
                  Incarnation incarnation);
 
+  // Counts the bodies of calls in the account, which must outlive the gateway.
+  void SetByteAccount(ByteAccount& byte_account) {
+    this->account = &byte_account;
+  }
+
   // Calls ---------------------------------------------------------------------
 
   // Runs a call that came in at node `from`, which may be this node.
@@ -87,6 +93,8 @@
   // backend server may have run.
   void AbortCalls();
 
+  // Whether a call for the service may be run here now.
+  bool Serves(const ServiceName& service) const;
   const std::optional<Heartbeat>& backend() const { return this->life.known(); }
   // A backend server that sent a heartbeat but must pass a health check first.
   const std::optional<Heartbeat>& unconfirmed_backend() const {
@@ -157,6 +165,7 @@
   bool IsReplaced(const LostCall& lost) const;
   void ReportDeathOf(LostCall lost);
   bool IsServing(const ServiceName& service, Instant now) const;
+  CachedReply EncodeForPeer(wire::CallReply reply);
   SlotDecision AwaitSlot(Call& call);
   void ApplyActions(const SlotActions& actions);
 
@@ -170,6 +179,7 @@
   DependencyThrottle throttle;
   AttemptLedger ledger;
   BackendLink link;
+  ByteAccount* account = nullptr;  // Null: bodies are not counted.
   std::uint64_t last_id = 0;
   std::unordered_map<std::uint64_t, CallPtr> calls;
   std::unordered_map<SendKey, std::uint64_t> by_send;
--- a/src/sidecar/mesh_entry.cc
+++ b/src/sidecar/mesh_entry.cc
@@ -24,6 +24,8 @@
 // told. Each one costs a round trip, and the second best node is usually full
 // too.
 constexpr int kMaxSends = 3;
+// The rest of a frame is for the headers and the other fields of the call.
+constexpr std::size_t kMaxPeerBodyBytes = kMaxFrameBytes - 256 * 1024;
 // Pause between two queries about a call whose connection was lost.
 constexpr milliseconds kQueryInterval{20};
 constexpr int kMaxQueries = 4;
@@ -36,6 +38,9 @@
 // 7 Mbit/s. Callers spend at most a third of their time waiting and retry once
 // or twice.
 constexpr milliseconds kNotReadyRetryDelay{600};
+// A body that is too long to be passed on beside the others is read and run
+// within seconds.
+constexpr milliseconds kNoMemoryRetryDelay{1000};
 // A node that knows of a newer version has it within this time on average.
 constexpr milliseconds kBehindRetryDelay{400};
 // Changes of a backend server reach the other nodes with membership probes and
@@ -109,7 +114,7 @@
 
 // Requests --------------------------------------------------------------------
 
-std::optional<HttpResponse> MeshEntry::Handle(const HttpRequest& request,
+std::optional<HttpResponse> MeshEntry::Handle(HttpRequest& request,
                                               DisconnectNotifier& departure) {
   auto caller = this->platform.ParseCallerRequest(request);
   if (!caller) {
@@ -165,7 +170,7 @@
   message.method = request.method;
   message.target = request.target;
   message.headers = std::move(caller->headers);
-  message.body = request.body;
+  message.body = std::move(request.body);
   message.idempotent = route.idempotent;
   message.attempt_id = caller->attempt_id;
   message.route = route.name.value;
@@ -187,6 +192,17 @@
       {Outcome::kNotRun, Reason::kShuttingDown, kRestartRetryDelay});
 }
 
+HttpResponse MeshEntry::RejectForMemory(const HttpRequest& request) {
+  const auto caller = this->platform.ParseCallerRequest(request);
+  this->events.Write("refused",
+                     {{"id", caller ? caller->attempt_id : std::string()},
+                      {"reason", ToText(Reason::kOverloaded)},
+                      {"detail", "no memory for its body"},
+                      {"length", request.Header("Content-Length")}});
+  return this->platform.ToCallerResponse(
+      {Outcome::kNotRun, Reason::kOverloaded, kNoMemoryRetryDelay});
+}
+
 void MeshEntry::OnCallerLeft(Call& call) {
   call.caller_left = true;
   if (call.current_node == this->config.self) {
@@ -294,15 +310,7 @@
   reply.room_in_us = microseconds(kNoEndpointRetryDelay).count();
   while (!call.caller_left) {
     const Instant now = Now();
-    PlacementRequest placement_request;
-    placement_request.service = service;
-    placement_request.tried = call.tried;
-    placement_request.target = std::max(
-        microseconds{0}, duration_cast<microseconds>(call.target - now));
-    placement_request.bytes =
-        static_cast<std::size_t>(this->route_costs[call.route->name].bytes);
-    placement_request.work = this->MeanBackendTime(*call.route);
-    const auto node = this->placement.Choose(placement_request, now);
+    const auto node = this->ChooseNode(call, now);
     if (!node || now >= call.deadline) {
       break;
     }
@@ -326,6 +334,24 @@
                            : std::move(reply);
 }
 
+// A body that doesn't fit into a frame can be run here only.
+std::optional<NodeId> MeshEntry::ChooseNode(const Call& call, Instant now) {
+  const ServiceName service{call.message.service_name};
+  if (call.message.body.size() > kMaxPeerBodyBytes) {
+    const bool runs_here = call.tried.empty() && this->gateway.Serves(service);
+    return runs_here ? std::optional(this->config.self) : std::nullopt;
+  }
+  PlacementRequest placement_request;
+  placement_request.service = service;
+  placement_request.tried = call.tried;
+  placement_request.target =
+      std::max(microseconds{0}, duration_cast<microseconds>(call.target - now));
+  placement_request.bytes =
+      static_cast<std::size_t>(this->route_costs[call.route->name].bytes);
+  placement_request.work = this->MeanBackendTime(*call.route);
+  return this->placement.Choose(placement_request, now);
+}
+
 // Decides whether to try another node, and spends the retry budget if so. A
 // call that was rejected before it reached a backend server is retried without
 // cost. A call that may have reached one counts against the fleet's retry
@@ -346,8 +372,9 @@
   if (outcome != Outcome::kNotRun && !call.route->idempotent) {
     return false;
   }
-  const bool same_on_every_node =
-      reason == Reason::kQuarantined || reason == Reason::kDependencyOverloaded;
+  const bool same_on_every_node = reason == Reason::kQuarantined ||
+                                  reason == Reason::kDependencyOverloaded ||
+                                  reason == Reason::kAnswerTooLong;
   if (same_on_every_node || Now() >= call.deadline) {
     return false;
   }
--- a/src/sidecar/mesh_entry.h
+++ b/src/sidecar/mesh_entry.h
@@ -52,9 +52,13 @@
             FleetRetryConfig retry_config);
 
   // Answers one request of a caller; empty when the caller has disconnected.
-  std::optional<HttpResponse> Handle(const HttpRequest& request,
+  // Moves the request's body away.
+  std::optional<HttpResponse> Handle(HttpRequest& request,
                                      DisconnectNotifier& departure);
 
+  // The answer to a request for whose body there is no memory.
+  HttpResponse RejectForMemory(const HttpRequest& request);
+
   // Sets the configuration that later requests use.
   void SetConfig(std::shared_ptr<const MeshConfig> next);
   // `check` says whether another node has a newer configuration. A route that
@@ -91,6 +95,7 @@
   };
 
   wire::CallReply RunAttempts(Call& call);
+  std::optional<NodeId> ChooseNode(const Call& call, Instant now);
   wire::CallReply Attempt(Call& call, const NodeId& node);
   wire::CallReply SendToPeer(Call& call, const NodeId& node);
   wire::CallReply QueryLostSend(Call& call, const NodeId& node);
--- a/src/sidecar/platform_port.h
+++ b/src/sidecar/platform_port.h
@@ -70,7 +70,8 @@
       const HttpRequest& request) const = 0;
 
   // The request in the form that the backend server expects; `left` is the time
-  // until its deadline.
+  // until its deadline. Its body stays empty: the call's own is sent, without a
+  // copy.
   virtual HttpRequest ToBackendRequest(
       const wire::CallRequest& call,
       const std::string& instance,
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -181,6 +181,7 @@
       handlers(this->MakeHandlers()),
       peers(this->loop, this->identity, this->handlers, this->peer_counters),
       datagrams(this->loop, this->settings.address),
+      bodies(BodyLimitsFor(this->settings.memory_bytes)),
       store(connect_store(this->loop, this->settings.log_address)),
       suspects(this->loop, this->peers, this->settings.address),
       gateway(this->loop,
@@ -222,12 +223,12 @@
                 [this](const NodeDirectory::Records& records) {
                   this->OnNodeList(records);
                 }),
-      front_server(this->loop,
-                   HttpServer::DisconnectAwareHandler(
-                       [this](const HttpRequest& request,
-                              DisconnectNotifier& departure) {
-                         return this->entry.Handle(request, departure);
-                       })),
+      front_server(
+          this->loop,
+          HttpServer::DisconnectAwareHandler(
+              [this](HttpRequest& request, DisconnectNotifier& departure) {
+                return this->entry.Handle(request, departure);
+              })),
       admin_server(this->loop,
                    HttpServer::Handler([this](const HttpRequest& request) {
                      return this->OnBackendMessage(request);
@@ -247,6 +248,11 @@
       [this](const HttpRequest& request, const UnansweredRequest& what) {
         this->LogUnanswered(request, what);
       });
+  this->gateway.SetByteAccount(this->bodies);
+  this->front_server.SetByteAccount(
+      this->bodies, [this](const HttpRequest& request) {
+        return this->entry.RejectForMemory(request);
+      });
   this->membership.SetQuarantineDigest(
       [this] { return this->suspects.QuarantineDigest(); },
       [this](const NodeId& from, std::int64_t digest) {
@@ -744,6 +750,12 @@
       "Requests read completely whose connection ended without a whole answer, "
       "though their callers had not disconnected.",
       [this] { return this->unanswered; });
+  add_gauge("tanagerledge_body_bytes",
+            "Memory reserved for bodies of requests and answers.",
+            [this] { return this->bodies.held(); });
+  add_gauge("tanagerledge_bodies_refused_total",
+            "Bodies of requests and answers for which there was no memory.",
+            [this] { return this->bodies.refused(); });
   add_gauge("tanagerledge_log_lines_dropped_total", "Log lines over the limit.",
             [this] { return this->events.dropped(); });
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -34,6 +34,7 @@
 #include "src/sidecar/platform_port.h"
 #include "src/sidecar/sidecar_metrics.h"
 #include "src/sidecar/store_calls.h"
+#include "tanagerledge/byte_account.h"
 #include "tanagerledge/ports.h"
 #include "tanagerledge/stop_plan.h"
 
@@ -96,6 +97,7 @@
   PeerHandlers handlers;
   PeerTransport peers;
   UdpPort datagrams;
+  ByteAccount bodies;
   std::unique_ptr<KeyedLogPort> store;
   StoreCalls store_calls;
   SuspectHost suspects;
--- a/tests/adapters/http_server_test.cc
+++ b/tests/adapters/http_server_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
@@ -260,5 +261,99 @@
   this->loop.Run();
 }
 
+// Memory ----------------------------------------------------------------------
+
+class LongBodyTest : public testing::Test {
+ protected:
+  static constexpr std::size_t kBodyBytes = 1024 * 1024;
+
+  LongBodyTest() : server(this->loop, MakeHandler(), MakeLimits()) {
+    this->server.SetByteAccount(this->account, [](const HttpRequest&) {
+      return MakeResponse(503, "a/b", "no room");
+    });
+  }
+
+  static HttpServer::DisconnectAwareHandler MakeHandler() {
+    return [](HttpRequest& request, DisconnectNotifier&) {
+      return std::optional(
+          MakeResponse(200, "a/b", std::to_string(request.body.size())));
+    };
+  }
+
+  static HttpLimits MakeLimits() {
+    HttpLimits limits;
+    limits.max_body_bytes = 64 * kBodyBytes;
+    limits.read_timeout = seconds(2);
+    return limits;
+  }
+
+  // Sends the head and the body, then returns the response.
+  std::string Exchange(const std::string& head, const std::string& body) {
+    tcp::socket socket(this->loop.context());
+    socket.connect(this->bound);
+    const std::string bytes = head + body;
+    const auto written = Await<std::size_t>([&](auto done) {
+      boost::asio::async_write(socket, boost::asio::buffer(bytes),
+                               std::move(done));
+    });
+    EXPECT_TRUE(written) << written.error.message();
+    std::string response;
+    Await<std::size_t>([&](auto done) {
+      boost::asio::async_read_until(socket,
+                                    boost::asio::dynamic_buffer(response),
+                                    "\r\n\r\n", std::move(done));
+    });
+    return response;
+  }
+
+  template <typename Work>
+  void WithServer(Work work) {
+    this->bound = *this->server.Accept(*ParseAddress("127.0.0.1:0"));
+    this->loop.Spawn([this, work] {
+      work();
+      this->server.Close();
+      this->loop.SleepFor(milliseconds(20));
+      this->loop.Stop();
+    });
+    this->loop.Run();
+    EXPECT_EQ(this->account.held(), 0U);
+  }
+
+  IoLoop loop;
+  ByteAccount account{{8 * kBodyBytes, 7 * kBodyBytes}};
+  HttpServer server;
+  tcp::endpoint bound;
+};
+
+TEST_F(LongBodyTest, BodyFindsNoRoom_Gets503WhileShortOnesAreServed) {
+  this->WithServer([&] {
+    ByteReservation others(&this->account);
+    ASSERT_TRUE(others.GrowTo(7 * kBodyBytes));
+    const std::string body(kBodyBytes, 'x');
+    EXPECT_TRUE(
+        this->Exchange("PUT / HTTP/1.1\r\nContent-Length: 1048576\r\n\r\n",
+                       body)
+            .starts_with("HTTP/1.1 503"));
+    EXPECT_TRUE(this->Exchange("PUT / HTTP/1.1\r\nTransfer-Encoding: "
+                               "chunked\r\n\r\n100000\r\n",
+                               body + "\r\n0\r\n\r\n")
+                    .starts_with("HTTP/1.1 503"));
+    EXPECT_TRUE(this->Exchange("PUT / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n",
+                               std::string(1000, 'x'))
+                    .starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(this->account.refused(), 2);
+  });
+}
+
+TEST_F(LongBodyTest, BodyFindsRoom_IsServedWhole) {
+  this->WithServer([&] {
+    EXPECT_TRUE(
+        this->Exchange("PUT / HTTP/1.1\r\nContent-Length: 1048576\r\n\r\n",
+                       std::string(kBodyBytes, 'x'))
+            .starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(this->account.refused(), 0);
+  });
+}
+
 }  // namespace
 }  // namespace tanagerledge
--- a/tests/adapters/peer_transport_test.cc
+++ b/tests/adapters/peer_transport_test.cc
@@ -7,6 +7,7 @@
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
 #include <functional>
@@ -105,6 +106,25 @@
   });
 }
 
+// The reply is too long for a frame; another request shares the connection.
+TEST_F(PeerTransportTest, ReplyTooLongForAFrame_OtherRequestsAreReplied) {
+  this->OnRequest([this](const NodeId&, std::string_view request) {
+    this->loop.SleepFor(milliseconds(request == "long" ? 20 : 100));
+    return std::string(request == "long" ? kMaxFrameBytes + 1 : 5, 'x');
+  });
+  this->Run([&](const NodeId& to) {
+    bool replied = false;
+    boost::fibers::fiber other([&] {
+      replied = this->SendRequest(to, "other", milliseconds(2000)).has_value();
+    });
+    const auto reply = this->SendRequest(to, "long", milliseconds(2000));
+    EXPECT_EQ(reply.value_or("none"), "");
+    other.join();
+    EXPECT_TRUE(replied);
+    EXPECT_EQ(this->client.counters.connects.load(), 1U);
+  });
+}
+
 TEST_F(PeerTransportTest, NoListener_RequestIsNotSent) {
   this->Run([this](const NodeId&) {
     const auto reply =
