--- a/src/adapters/accounted_body.h
+++ b/src/adapters/accounted_body.h
@@ -35,6 +35,8 @@
     return boost::asio::error::no_buffer_space;
   }
 
+  // Beast prescribes the names of the two types.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   struct value_type {
     std::string text;
     std::size_t max_bytes = std::numeric_limits<std::size_t>::max();
@@ -43,6 +45,7 @@
     ByteReservation* reservation = nullptr;  // May be null: no limit.
   };
 
+  // NOLINTNEXTLINE(readability-identifier-naming)
   class reader {
    public:
     template <bool is_request, typename Fields>
