Invalid heartbeats differ from a complete one by one value

Since heartbeats must be complete, the bodies of InvalidHeartbeat_IsRejected were rejected for their missing fields and no longer checked the values that they are about. Each value is now put into a complete heartbeat; sequence, born added.

--- a/src/membership/backend_life.cc
+++ b/src/membership/backend_life.cc
@@ -246,6 +246,7 @@
   }
 }
 
+// Starts are ordered by birth time, heartbeats of one start by sequence.
 bool BackendLife::IsOlderStart(const Heartbeat& heartbeat) const {
   return this->current && heartbeat.born_ms < this->current->born_ms;
 }
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
 
 #include "platform/operator_config.h"
 
@@ -23,6 +25,18 @@
     return answer;
   }
 
+  static nlohmann::json CompleteHeartbeat() {
+    return {{"service", "s"},
+            {"address", "10.0.0.9:8080"},
+            {"zone", "z"},
+            {"version", "v1"},
+            {"slots", 18},
+            {"state", "ready"},
+            {"cold_remaining_ms", 0},
+            {"sequence", 4},
+            {"born", 1700000000123}};
+  }
+
   static HttpRequest HeartbeatRequest(std::string body) {
     HttpRequest request;
     request.method = "PUT";
@@ -180,35 +194,40 @@
 }
 
 TEST_F(PlatformTest, InvalidHeartbeat_IsRejected) {
-  for (
-      const char* body :
-      {"", "{", "[]", R"({"service":"s"})",
-       R"({"service":1,"address":"10.0.0.9:1","slots":1,"state":"ready","sequence":1})",
-       R"({"service":"s","address":"10.0.0.9:1","slots":1,"state":"odd","sequence":1})",
-       R"({"service":"s","address":"10.0.0.9:0","slots":1,"state":"ready","sequence":1})",
-       R"({"service":"s","address":"10.0.0.9:65536","slots":1,"state":"ready","sequence":1})",
-       R"({"service":"s","address":"10.0.0.9:1","slots":1e30,"state":"ready","sequence":1})",
-       R"({"service":"s","address":"nowhere","slots":1,"state":"ready","sequence":1})",
-       R"({"service":"s","address":"10.0.0.9:1","slots":-1,"state":"ready","sequence":1})",
-       "\xff\xfe\x01"}) {
+  for (const char* body :
+       {"", "{", "[]", R"({"service":"s"})", "\xff\xfe\x01"}) {
     EXPECT_FALSE(
         this->platform.ParseBackendMessage(HeartbeatRequest(body)).has_value())
         << body;
   }
 }
 
+TEST_F(PlatformTest, CompleteHeartbeatWithOneInvalidValue_IsRejected) {
+  const std::vector<std::pair<const char*, nlohmann::json>> invalid = {
+      {"service", 1},
+      {"state", "odd"},
+      {"address", "10.0.0.9:0"},
+      {"address", "10.0.0.9:65536"},
+      {"address", "nowhere"},
+      {"slots", 1e30},
+      {"slots", -1},
+      {"sequence", -1},
+      {"born", 0},
+      {"born", 1.5}};
+  for (const auto& [field, value] : invalid) {
+    nlohmann::json body = CompleteHeartbeat();
+    body[field] = value;
+    EXPECT_FALSE(
+        this->platform.ParseBackendMessage(HeartbeatRequest(body.dump()))
+            .has_value())
+        << body;
+  }
+}
+
 // Another writer's heartbeat: it names no backend server, whichever field is
 // wrong.
 TEST_F(PlatformTest, HeartbeatWithOneFieldMissingOrOdd_IsRejected) {
-  const nlohmann::json valid = {{"service", "s"},
-                                {"address", "10.0.0.9:8080"},
-                                {"zone", "z"},
-                                {"version", "v1"},
-                                {"slots", 18},
-                                {"state", "ready"},
-                                {"cold_remaining_ms", 0},
-                                {"sequence", 4},
-                                {"born", 1700000000123}};
+  const nlohmann::json valid = CompleteHeartbeat();
   const auto is_valid = [this](const nlohmann::json& body) {
     return this->platform.ParseBackendMessage(HeartbeatRequest(body.dump()))
         .has_value();
