--- a/soak/node_process.cc
+++ b/fakes/node_process.cc
@@ -1,4 +1,4 @@
-#include "soak/node_process.h"
+#include "fakes/node_process.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -9,7 +9,7 @@
 #include <array>
 #include <utility>
 
-namespace tanagerledge::soak {
+namespace tanagerledge {
 
 NodeProcess::NodeProcess(std::string program_path, std::string settings_path)
     : program(std::move(program_path)), settings(std::move(settings_path)) {}
@@ -29,11 +29,12 @@
   posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, kLogFileMode);
   posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
-  // The node must not inherit sockets of the soak: a socket that the node holds
-  // open would stay open after the soak closes it.
+  // The node must not inherit sockets of its parent: a socket that the node
+  // holds open would stay open after the parent closes it.
   constexpr int kFirstUnusedFd = STDERR_FILENO + 1;
   posix_spawn_file_actions_addclosefrom_np(&files, kFirstUnusedFd);
-  // The node starts without blocked signals, although the soak blocks some.
+  // The node starts without blocked signals, although its parent may block
+  // some.
   posix_spawnattr_t attributes;
   posix_spawnattr_init(&attributes);
   sigset_t none;
@@ -69,4 +70,4 @@
   return this->ended;
 }
 
-}  // namespace tanagerledge::soak
+}  // namespace tanagerledge
--- a/soak/node_process.h
+++ b/fakes/node_process.h
@@ -2,15 +2,15 @@
 // file and writes its log to another one. Signals are sent only to this child,
 // by its process id.
 
-#ifndef TANAGERLEDGE_SOAK_NODE_PROCESS_H_
-#define TANAGERLEDGE_SOAK_NODE_PROCESS_H_
+#ifndef TANAGERLEDGE_FAKES_NODE_PROCESS_H_
+#define TANAGERLEDGE_FAKES_NODE_PROCESS_H_
 
 #include <sys/types.h>
 
 #include <optional>
 #include <string>
 
-namespace tanagerledge::soak {
+namespace tanagerledge {
 
 class NodeProcess {
  public:
@@ -36,6 +36,6 @@
   std::optional<int> ended;
 };
 
-}  // namespace tanagerledge::soak
+}  // namespace tanagerledge
 
-#endif  // TANAGERLEDGE_SOAK_NODE_PROCESS_H_
+#endif  // TANAGERLEDGE_FAKES_NODE_PROCESS_H_
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -11,12 +11,12 @@
 #include <vector>
 
 #include "fakes/log_store.h"
+#include "fakes/node_process.h"
 #include "platform/store_client.h"
 #include "soak/backend.h"
 #include "soak/caller.h"
 #include "soak/ledger.h"
 #include "soak/node_history.h"
-#include "soak/node_process.h"
 #include "src/adapters/clock.h"
 
 namespace tanagerledge::soak {
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -30,6 +30,7 @@
 
 #include "fakes/log_store.h"
 #include "fakes/scripted_backend.h"
+#include "fakes/test_backend.h"
 #include "platform/platform.h"
 #include "platform/store_client.h"
 #include "src/adapters/codec.h"
@@ -53,82 +54,6 @@
           .local_endpoint());
 }
 
-// A fake backend server that follows the platform's protocol and records the
-// requests that it ran.
-class TestBackend {
- public:
-  TestBackend(IoLoop& io_loop, std::string instance_name)
-      : instance(std::move(instance_name)),
-        loop(io_loop),
-        server(io_loop, [this](const HttpRequest& request) {
-          return this->Answer(request);
-        }) {
-    const auto bound = this->server.Accept(ParseAddress("127.0.0.1:0").value());
-    this->address = FormatAddress(*bound);
-  }
-
-  std::optional<HttpResponse> Answer(const HttpRequest& request) {
-    HttpResponse response = MakeResponse(200, "text/plain", "answer");
-    if (request.Path() == "/health") {
-      if (this->leaving) {
-        return MakeResponse(503, "text/plain", "leaving");
-      }
-      response.headers.push_back({"X-Instance-Id", this->instance});
-      return response;
-    }
-    const HttpHeader echo{"X-Attempt-Id",
-                          std::string(request.Header("X-Attempt-Id"))};
-    if (request.Header("X-Expect-Instance") != this->instance) {
-      HttpResponse refusal = MakeResponse(421, "text/plain", "");
-      refusal.headers.push_back(echo);
-      return refusal;
-    }
-    if (request.target.find("crash") != std::string::npos) {
-      ++this->crashes;
-      this->loop.SpawnHere([this] { this->server.Close(); });
-      return std::nullopt;
-    }
-    ++this->began;
-    const milliseconds allowed(
-        std::stoll(std::string(request.Header("X-Deadline-Ms"))));
-    const milliseconds needed = this->work;
-    this->loop.SleepFor(std::min(needed, allowed));
-    const std::scoped_lock lock(this->mutex);
-    this->ran.push_back(request);
-    if (this->lose_answers) {
-      return std::nullopt;
-    }
-    if (needed > allowed) {
-      response = MakeResponse(504, "text/plain", "the deadline has passed");
-    } else if (this->answer_bytes > 0) {
-      response.body.assign(this->answer_bytes, '~');
-    }
-    response.headers.push_back(echo);
-    response.headers.push_back({"X-Server-Stamp", "stamp-" + this->instance});
-    return response;
-  }
-
-  std::vector<HttpRequest> Ran() const {
-    const std::scoped_lock lock(this->mutex);
-    return this->ran;
-  }
-
-  const std::string instance;
-  std::string address;
-  std::atomic<bool> lose_answers{false};
-  std::atomic<bool> leaving{false};  // Health checks are answered with 503.
-  std::atomic<milliseconds> work{milliseconds(0)};
-  std::atomic<std::size_t> answer_bytes{0};  // 0: a short default body.
-  std::atomic<int> began{0};                 // Requests that it began to run.
-  std::atomic<int> crashes{0};               // Requests that ended it.
-  IoLoop& loop;
-  HttpServer server;
-
- private:
-  mutable std::mutex mutex;
-  std::vector<HttpRequest> ran;
-};
-
 // A faulty backend server that answers with given bytes and then closes or
 // resets the connection.
 class RawBackend {
