A process that a signal of its own ends logs the signal and its last activity

Change: handlers of SIGABRT, SIGBUS, SIGFPE, SIGILL and SIGSEGV write one line with the signal and what the thread did last, then let the signal end the process. Metrics: tanagerledge_back_end_slots and the heartbeats that were rejected, stale or unconfirmed. Heartbeat lines have the address and the slots.

--- a/apps/tanagerledged_main.cc
+++ b/apps/tanagerledged_main.cc
@@ -12,6 +12,7 @@
 #include "platform/names.h"
 #include "platform/platform.h"
 #include "platform/store_client.h"
+#include "src/adapters/crash_log.h"
 #include "src/adapters/logging.h"
 #include "src/adapters/settings.h"
 #include "src/adapters/stop_signal.h"
@@ -140,6 +141,7 @@
       std::cout << *path << ": good\n";
       return kExitOk;
     }
+    tanagerledge::StartCrashLog(settings->address.value);
     return settings->source == tanagerledge::ConfigSource::kPlatform
                ? RunSidecar(*path, *settings, watch, stop)
                : RunNode(*settings, stop);
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -8,6 +8,7 @@
 #include "src/adapters/accounted_body.h"
 #include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
+#include "src/adapters/crash_log.h"
 #include "src/adapters/peer_transport.h"
 #include "src/node/call_messages.h"
 
@@ -319,6 +320,7 @@
 
 BackendGateway::SlotDecision BackendGateway::AwaitSlot(Call& call) {
   const wire::CallRequest& request = *call.request;
+  NoteActivity("call offered to the slots", request.attempt_id);
   const Instant now = Now();
   SlotRequest offer;
   offer.id = call.id;
@@ -329,8 +331,7 @@
   offer.deadline = call.deadline - kMinExecutionTime;
   // A nested call has no target of its own: the outer request waits for it
   // either way, so only the deadline counts.
-  offer.target =
-      request.nested ? offer.deadline : now + microseconds(request.target_us);
+  offer.target = request.nested ? offer.deadline : now + microseconds(request.target_us);
   this->ApplyActions(this->queue.Offer(offer, now));
   // OnTick rejects calls that can't be served in time; the margin lets it run
   // before this wait times out.
@@ -591,6 +592,7 @@
 }
 
 HeartbeatVerdict BackendGateway::OnHeartbeat(const Heartbeat& heartbeat) {
+  NoteActivity("heartbeat", heartbeat.instance);
   const Instant now = Now();
   const HeartbeatVerdict verdict = this->life.OnHeartbeat(heartbeat, now);
   if (verdict == HeartbeatVerdict::kChanged) {
@@ -658,6 +660,7 @@
 }
 
 void BackendGateway::OnTick() {
+  NoteActivity("tick of the slots", "");
   const Instant now = Now();
   if (!this->lost_calls.empty()) {
     this->loop.SpawnHere([this] { this->DetectBackendDeath(); });
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -7,6 +7,7 @@
 
 #include "src/adapters/clock.h"
 #include "src/adapters/codec.h"
+#include "src/adapters/crash_log.h"
 #include "src/adapters/net.h"
 
 namespace tanagerledge {
@@ -321,6 +322,23 @@
       });
 }
 
+// Notes each frame of a peer before its handler runs.
+void Sidecar::NoteFrames(PeerHandlers& all) {
+  const auto note = [](auto& by_channel, const char* what) {
+    std::ranges::for_each(by_channel, [what](auto& handler) {
+      if (handler) {
+        handler = [what, handle = std::move(handler)](const NodeId& from,
+                                                      std::string_view bytes) {
+          NoteActivity(what, from.value);
+          return handle(from, bytes);
+        };
+      }
+    });
+  };
+  note(all.on_request, "request of a peer");
+  note(all.on_message, "message of a peer");
+}
+
 PeerHandlers Sidecar::MakeHandlers() {
   PeerHandlers all;
   const auto index = [](Channel channel) {
@@ -358,6 +376,7 @@
                                                      std::string_view bytes) {
     return this->suspects.OnPeerRequest(from, bytes);
   };
+  NoteFrames(all);
   return all;
 }
 
@@ -400,6 +419,7 @@
 }
 
 void Sidecar::OnConfig(std::shared_ptr<const MeshConfig> next) {
+  NoteActivity("configuration", std::to_string(next->version()));
   this->mesh = std::move(next);
   HttpLimits limits;
   limits.max_header_bytes = this->mesh->limits().max_header_bytes;
@@ -444,6 +464,7 @@
 // Fleet -----------------------------------------------------------------------
 
 void Sidecar::OnNodeList(const NodeDirectory::Records& records) {
+  NoteActivity("node list", "");
   std::vector<NodeId> seeds;
   this->hints.clear();
   this->hints_until = Now() + kHintLifetime;
@@ -622,14 +643,17 @@
 
 std::optional<HttpResponse> Sidecar::OnBackendMessage(
     const HttpRequest& request) {
+  NoteActivity("message of a backend server", request.Path());
   const auto message = this->platform.ParseBackendMessage(request);
   if (!message) {
+    ++this->heartbeat_counts.rejected;
     this->events.Write("back end word unreadable",
                        {{"error", message.error()}});
     return MakeResponse(kBadRequest, "text/plain", message.error() + "\n");
   }
   if (const auto* heartbeat = std::get_if<Heartbeat>(&*message)) {
     if (const auto valid = this->CheckHeartbeat(*heartbeat); !valid) {
+      ++this->heartbeat_counts.rejected;
       this->events.Write("heartbeat rejected",
                          {{"instance", heartbeat->instance},
                           {"service", heartbeat->service.value},
@@ -638,12 +662,17 @@
       return MakeResponse(kBadRequest, "text/plain", valid.error() + "\n");
     }
     const HeartbeatVerdict verdict = this->gateway.OnHeartbeat(*heartbeat);
+    this->heartbeat_counts.stale += verdict == HeartbeatVerdict::kStale ? 1 : 0;
+    this->heartbeat_counts.unconfirmed +=
+        verdict == HeartbeatVerdict::kUnconfirmed ? 1 : 0;
     if (verdict != HeartbeatVerdict::kUnchanged) {
       this->events.Write(
           EventName(verdict),
           {{"instance", heartbeat->instance},
            {"born_ms", heartbeat->born_ms},
            {"sequence", static_cast<std::int64_t>(heartbeat->sequence)},
+           {"address", heartbeat->address},
+           {"slots", std::int64_t{heartbeat->slots}},
            {"draining", std::int64_t{heartbeat->draining}},
            {"up_ms",
             duration_cast<milliseconds>(Now() - this->started).count()}});
@@ -731,6 +760,19 @@
   add_gauge("tanagerledge_back_end_state",
             "Local backend server: 0 warming, 1 ready, 2 draining, 3 gone.",
             [this] { return this->gateway.AnnouncedState(); });
+  add_gauge("tanagerledge_heartbeats_rejected_total",
+            "Messages of backend servers that were answered with an error.",
+            [this] { return this->heartbeat_counts.rejected; });
+  add_gauge("tanagerledge_heartbeats_stale_total",
+            "Heartbeats that changed nothing because newer ones or the leave "
+            "are known.",
+            [this] { return this->heartbeat_counts.stale; });
+  add_gauge("tanagerledge_heartbeats_unconfirmed_total",
+            "Heartbeats of backend servers that had to be confirmed first.",
+            [this] { return this->heartbeat_counts.unconfirmed; });
+  add_gauge("tanagerledge_back_end_slots",
+            "Slots that the local backend server announced.",
+            [this] { return this->gateway.Load().limit; });
   add_gauge("tanagerledge_calls_running",
             "Calls that hold a slot of the backend server.",
             [this] { return this->gateway.Load().running; });
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -62,6 +62,7 @@
  private:
   tl::expected<void, std::string> Listen();
   PeerHandlers MakeHandlers();
+  static void NoteFrames(PeerHandlers& all);
   void RunTicks();
   void MaybeReadNodeList(int ticks);
   void OnConfig(std::shared_ptr<const MeshConfig> next);
@@ -123,6 +124,13 @@
   bool stopping = false;
   // Requests without an answer, except those whose caller has disconnected.
   std::uint64_t unanswered = 0;
+  // Messages of backend servers that did not change the current one.
+  struct HeartbeatCounts {
+    std::uint64_t rejected = 0;
+    std::uint64_t stale = 0;
+    std::uint64_t unconfirmed = 0;
+  };
+  HeartbeatCounts heartbeat_counts;
   // The state of the backend server that was last announced to the fleet.
   EndpointState announced_state = EndpointState::kGone;
   // The same, regardless of whether this node stops.
