--- a/include/tanagerledge/placement.h
+++ b/include/tanagerledge/placement.h
@@ -104,7 +104,7 @@
     Instant reported{};
     int in_flight = 0;            // Calls of this node that are there now.
     int in_flight_at_report = 0;  // The same when the report arrived.
-    Instant unreachable_until{};
+    Instant avoided_until{};      // It was unreachable or had no slots.
     bool connected = true;
   };
 
--- a/include/tanagerledge/slot_queue.h
+++ b/include/tanagerledge/slot_queue.h
@@ -69,8 +69,8 @@
 
 class SlotQueue {
  public:
-  // Sets the number of slots that the backend server announced. With 0, no call
-  // starts.
+  // Sets the number of slots that the backend server announced. With 0, waiting
+  // and new calls are rejected at once; running calls go on.
   SlotActions OnSlots(int count, Instant now);
 
   // A call arrived. It starts, waits, or is rejected at once.
@@ -142,6 +142,7 @@
                         const OrderClass& order_class,
                         Instant now) const;
   void FillSlots(Instant now, SlotActions& out);
+  SlotActions RejectAll(Reason reason, std::chrono::microseconds room_in);
 
   int slots = 0;
   std::uint64_t arrivals = 0;
--- a/src/admission/slot_queue.cc
+++ b/src/admission/slot_queue.cc
@@ -36,6 +36,9 @@
 constexpr double kMinRemainingShare = 0.02;
 // Minimum retry delay of rejected calls, so that no caller retries at once.
 constexpr microseconds kMinRetryDelay{10'000};
+// The backend server announces new slots with its next heartbeat, which is sent
+// within 1.5 s.
+constexpr microseconds kNoSlotsRetryDelay{500'000};
 
 // The share of an exponentially decaying quantity that remains after `age`.
 double DecayFactor(Instant::duration age, microseconds time_constant) {
@@ -50,12 +53,13 @@
 
 class SlotQueue::SlotEnds {
  public:
+  // There must be at least one slot.
   SlotEnds(std::vector<Instant> ends, std::size_t slot_count, Instant now) {
     ends.resize(std::max(ends.size(), slot_count), now);
     this->heap = Heap(std::greater<>(), std::move(ends));
     // More calls than slots can run after the backend server has reduced its
     // slots: the ends of the excess calls free no slot.
-    while (this->heap.size() > std::max<std::size_t>(1, slot_count)) {
+    while (this->heap.size() > slot_count) {
       this->heap.pop();
     }
   }
@@ -166,13 +170,20 @@
 // Events ----------------------------------------------------------------------
 
 SlotActions SlotQueue::OnSlots(int count, Instant now) {
-  this->slots = count;
+  this->slots = std::max(0, count);
+  // Without slots, no waiting call can start before the next heartbeat.
+  if (this->slots == 0) {
+    return this->RejectAll(Reason::kOverloaded, kNoSlotsRetryDelay);
+  }
   SlotActions out;
   this->FillSlots(now, out);
   return out;
 }
 
 SlotActions SlotQueue::Offer(const SlotRequest& request, Instant now) {
+  if (this->slots == 0) {
+    return {RejectCall{request.id, Reason::kOverloaded, kNoSlotsRetryDelay}};
+  }
   Order order;
   order.order_class = {!request.nested, request.priority, false};
   order.first_attempt = !request.returning;
@@ -197,7 +208,7 @@
     slot_free_at = next_free_slot();
     start = this->DelayByInflow(slot_free_at, order.order_class, now);
   }
-  if (this->slots == 0 || start + expected > request.deadline) {
+  if (start + expected > request.deadline) {
     // The retry delay counts only the calls that wait here now. Calls that
     // arrive until then may go to other nodes.
     const auto wait =
@@ -244,11 +255,15 @@
 }
 
 SlotActions SlotQueue::Flush(Reason reason) {
+  return this->RejectAll(reason, kMinRetryDelay);
+}
+
+SlotActions SlotQueue::RejectAll(Reason reason, microseconds room_in) {
   SlotActions out;
-  std::ranges::transform(
-      this->queue, std::back_inserter(out), [reason](const auto& entry) {
-        return RejectCall{entry.second.id, reason, kMinRetryDelay};
-      });
+  std::ranges::transform(this->queue, std::back_inserter(out),
+                         [&](const auto& entry) {
+                           return RejectCall{entry.second.id, reason, room_in};
+                         });
   this->queue.clear();
   this->waiting_order.clear();
   return out;
--- a/src/node/call_messages.cc
+++ b/src/node/call_messages.cc
@@ -109,13 +109,16 @@
 }
 
 LoadReport FromWire(const wire::LoadReport& report) {
+  // The bounds keep sums and products of these values in range.
+  constexpr std::int32_t kMaxCalls = 1'000'000;
+  constexpr std::int64_t kMaxServiceTimeUs = 3'600'000'000;
   LoadReport load;
-  load.limit = std::max(report.limit, 0);
-  load.running = std::max(report.running, 0);
-  load.queued = std::max(report.queued, 0);
+  load.limit = std::clamp(report.limit, 0, kMaxCalls);
+  load.running = std::clamp(report.running, 0, kMaxCalls);
+  load.queued = std::clamp(report.queued, 0, kMaxCalls);
   load.admission_level = report.admission_level;
   load.service_time = std::chrono::microseconds(
-      std::max<std::int64_t>(report.service_time_us, 0));
+      std::clamp<std::int64_t>(report.service_time_us, 0, kMaxServiceTimeUs));
   load.failing_permille = std::clamp(report.failing_permille, 0, 1000);
   return load;
 }
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -28,6 +28,9 @@
 constexpr double kMedianToMeanRatio = 0.8;
 // An unreachable node is avoided for this time, unless no other is left.
 constexpr milliseconds kUnreachableTimeout{500};
+// The same for a node whose backend server has no slots or is not known yet. A
+// restarted node knows it soon.
+constexpr milliseconds kNoSlotsTimeout{100};
 // Cost of each multiple of the target by which the expected time exceeds it.
 constexpr double kLateCost = 0.5;
 // Extra cost of a call to another availability zone for each KB, in the same
@@ -43,7 +46,7 @@
 constexpr double kTimeCost = 0.1;
 // A failed call has to be repeated or is lost.
 constexpr double kFailureCost = 1.5;
-constexpr double kUnreachableCost = 100.0;
+constexpr double kAvoidedCost = 100.0;
 // Calls with a shorter target or none are placed as if they had this one.
 constexpr milliseconds kMinTarget{100};
 // Minimum for the mean work time of a service, used until the first report.
@@ -88,7 +91,7 @@
   BestCandidate best;
   this->ConsiderSample(candidates.in_own_zone, 0.0, choice, best);
   this->ConsiderSample(candidates.in_other_zones, zone_cost, choice, best);
-  if (best.candidate == nullptr || best.cost >= kUnreachableCost) {
+  if (best.candidate == nullptr || best.cost >= kAvoidedCost) {
     // No usable candidate was drawn: consider all.
     const auto consider_with = [&](double extra_cost) {
       return [&, extra_cost](const Candidate& candidate) {
@@ -151,9 +154,8 @@
   double cost =
       risk + kLateCost * std::max(0.0, expected - 1.0) + kTimeCost * expected;
   cost += kFailureCost * stats.load.failing_permille / 1000.0;
-  const bool reachable =
-      stats.connected && choice.now >= stats.unreachable_until;
-  cost += reachable ? 0.0 : kUnreachableCost;
+  const bool usable = stats.connected && choice.now >= stats.avoided_until;
+  cost += usable ? 0.0 : kAvoidedCost;
   return cost;
 }
 
@@ -213,7 +215,9 @@
   stats.load = load;
   stats.reported = now;
   stats.in_flight_at_report = stats.in_flight;
-  stats.unreachable_until = Instant{};
+  // The report of a node without slots says that no call waits there, but each
+  // call would be rejected.
+  stats.avoided_until = load.limit > 0 ? Instant{} : now + kNoSlotsTimeout;
   if (load.limit <= 0 || load.service_time.count() <= 0) {
     return;  // The node has no backend server, or no call has ended there yet.
   }
@@ -231,7 +235,7 @@
 void Placement::OnUnreachable(const NodeId& node, Instant now) {
   NodeStats& stats = this->stats_by_node[node];
   --stats.in_flight;
-  stats.unreachable_until = now + kUnreachableTimeout;
+  stats.avoided_until = now + kUnreachableTimeout;
 }
 
 void Placement::OnCancel(const NodeId& node) {
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -331,7 +331,9 @@
   offer.deadline = call.deadline - kMinExecutionTime;
   // A nested call has no target of its own: the outer request waits for it
   // either way, so only the deadline counts.
-  offer.target = request.nested ? offer.deadline : now + microseconds(request.target_us);
+  offer.target = request.nested ? offer.deadline
+                                : now + microseconds(std::clamp<std::int64_t>(
+                                            request.target_us, 0, kMaxCallUs));
   this->ApplyActions(this->queue.Offer(offer, now));
   // OnTick rejects calls that can't be served in time; the margin lets it run
   // before this wait times out.
@@ -595,8 +597,9 @@
   NoteActivity("heartbeat", heartbeat.instance);
   const Instant now = Now();
   const HeartbeatVerdict verdict = this->life.OnHeartbeat(heartbeat, now);
+  // The heartbeat may be one of another start, which changes only the state.
   if (verdict == HeartbeatVerdict::kChanged) {
-    this->ApplyActions(this->queue.OnSlots(heartbeat.slots, now));
+    this->ApplyActions(this->queue.OnSlots(this->life.known()->slots, now));
   }
   return verdict;
 }
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -133,15 +133,16 @@
   std::vector<Suspicion> quarantines;
   std::ranges::for_each(
       record.quarantined, [&](const wire::QuarantineRecord& each) {
-        const std::int64_t left = each.until_unix_ms - unix_ms;
         const std::int64_t most =
-            milliseconds(SuspectConfig().quarantine_ttl).count();
-        if (left > 0 && left <= most + kMaxClockDifferenceMs) {
+            milliseconds(SuspectConfig().quarantine_ttl).count() +
+            kMaxClockDifferenceMs;
+        if (each.until_unix_ms > unix_ms &&
+            each.until_unix_ms - unix_ms <= most) {
           quarantines.push_back({{static_cast<std::uint64_t>(each.fingerprint)},
                                  kRecordedDeaths,
                                  false,
                                  node,
-                                 milliseconds(left)});
+                                 milliseconds(each.until_unix_ms - unix_ms)});
         }
       });
   return quarantines;
--- a/tests/admission/slot_queue_test.cc
+++ b/tests/admission/slot_queue_test.cc
@@ -84,6 +84,37 @@
   EXPECT_EQ(this->queue.waiting(), 1U);
 }
 
+// Guards against the end of the process when a backend server announces no
+// slots.
+TEST_F(SlotQueueTest, NoSlotsAnnounced_CallsAreRejectedUntilThereAreSome) {
+  this->Apply(this->queue.OnSlots(0, this->now));
+  const auto rejected = this->Offer("w", 1, milliseconds(100));
+  EXPECT_FALSE(this->Started(rejected));
+  EXPECT_GT(this->rejections.at(rejected), milliseconds(100));
+  this->Apply(this->queue.OnTick(this->now));
+  this->Apply(this->queue.OnSlots(1, this->now));
+  EXPECT_TRUE(this->Started(this->Offer("w", 1, milliseconds(100))));
+}
+
+// The same when the last slot is taken away while calls run and wait.
+TEST_F(SlotQueueTest, LastSlotTakenAway_WaitingCallsAreRejectedOthersRunOn) {
+  const auto running = this->Offer("w", 1, milliseconds(500));
+  this->Offer("w", 1, milliseconds(500));
+  const auto waiting = this->Offer("w", 1, milliseconds(500));
+  this->Apply(this->queue.OnSlots(0, this->now));
+  EXPECT_TRUE(this->rejections.contains(waiting));
+  EXPECT_EQ(this->queue.waiting(), 0U);
+  EXPECT_EQ(this->queue.running(), 2U);
+  this->now += milliseconds(20);
+  this->Apply(this->queue.OnTick(this->now));
+  const auto later = this->Offer("w", 1, milliseconds(500));
+  EXPECT_TRUE(this->rejections.contains(later));
+  this->Finish(running);
+  EXPECT_EQ(this->queue.running(), 1U);
+  this->Apply(this->queue.OnSlots(2, this->now));
+  EXPECT_TRUE(this->Started(this->Offer("w", 1, milliseconds(500))));
+}
+
 TEST_F(SlotQueueTest, SeveralCallsWait_NestedThenUrgentThenRetriesStartFirst) {
   const auto first = this->Offer("w", 1, milliseconds(500));
   const auto second = this->Offer("w", 1, milliseconds(500));
--- /dev/null
+++ b/tests/process/hostile_heartbeat_test.cc
@@ -0,0 +1,101 @@
+// Heartbeats that are complete but extreme, sent to a real process.
+
+#include <signal.h>
+
+#include <algorithm>
+#include <atomic>
+#include <future>
+#include <iostream>
+#include <iterator>
+#include <thread>
+#include <vector>
+
+#include "src/adapters/clock.h"
+#include "tests/process/node_process_test.h"
+
+namespace tanagerledge {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class HostileHeartbeatTest : public NodeProcessTest {
+ protected:
+  // A start that is not older than the node's own, which would need a proof in
+  // any case.
+  static std::int64_t BornLater() {
+    constexpr std::int64_t kAfterNodeMs = 30'000;
+    return UnixMilliseconds() + kAfterNodeMs;
+  }
+
+  // Makes calls for longer than the time after which a silent server counts as
+  // gone.
+  void ExpectAllServed() {
+    int made = 0;
+    int served = 0;
+    const Instant until = Now() + 5 * kHeartbeatPeriod;
+    while (Now() < until) {
+      ++made;
+      served += this->CallStatus() == 200 ? 1 : 0;
+    }
+    EXPECT_EQ(served, made);
+  }
+};
+
+// Guards against the end of the process when a heartbeat has no slots: calls
+// are rejected at once until a heartbeat has some.
+TEST_F(HostileHeartbeatTest, NoSlots_ProcessLivesAndServesWithTheNextSlots) {
+  this->StopHeartbeats();
+  for (int i = 0; i < 20; ++i) {
+    json none = this->NextHeartbeat();
+    none["slots"] = 0;
+    ASSERT_EQ(this->SendToNode(none.dump()), 200) << this->ReadLog();
+    const Instant began = Now();
+    const HttpResponse rejected = this->Call();
+    ASSERT_EQ(rejected.status, 503) << this->ReadLog();
+    EXPECT_FALSE(rejected.Header("Retry-After").empty());
+    EXPECT_LT(Now() - began, milliseconds(500));
+  }
+  EXPECT_EQ(this->SendToNode(this->NextHeartbeat().dump()), 200);
+  EXPECT_EQ(this->CallStatus(), 200);
+}
+
+// The same while calls run and wait: those that run end well.
+TEST_F(HostileHeartbeatTest, LastSlotTakenAway_RunningCallsAreAnswered) {
+  this->StopHeartbeats();
+  json heartbeat = this->NextHeartbeat();
+  heartbeat["slots"] = 2;
+  ASSERT_EQ(this->SendToNode(heartbeat.dump()), 200);
+  this->backend.work = milliseconds(600);
+  const int began = this->backend.began;
+  std::vector<std::future<int>> statuses;
+  for (int call = 0; call < 6; ++call) {
+    statuses.push_back(this->CallAsync());
+  }
+  ASSERT_TRUE(this->Eventually([&] { return this->backend.began == began + 2; },
+                               seconds(2)));
+  heartbeat = this->NextHeartbeat();
+  heartbeat["slots"] = 0;
+  ASSERT_EQ(this->SendToNode(heartbeat.dump()), 200);
+  std::vector<int> results;
+  std::ranges::transform(statuses, std::back_inserter(results),
+                         [](std::future<int>& each) { return each.get(); });
+  EXPECT_EQ(std::ranges::count(results, 200), 2);
+  EXPECT_EQ(std::ranges::count(results, 503), 4);
+  EXPECT_TRUE(this->IsRunning()) << this->ReadLog();
+}
+
+// Guards against a process that ends without a line in its log.
+TEST_F(HostileHeartbeatTest, EndedByASignalOfItsOwn_LogsTheSignal) {
+  this->process->Signal(SIGSEGV);
+  ASSERT_TRUE(
+      this->Eventually([this] { return !this->IsRunning(); }, seconds(2)));
+  EXPECT_EQ(this->process->Reap(), -SIGSEGV);
+  EXPECT_NE(this->ReadLog().find("\"event\":\"ended by signal\",\"signal\":"
+                                 "\"SIGSEGV\",\"last_activity\":"),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace tanagerledge
--- /dev/null
+++ b/tests/process/node_process_test.cc
@@ -0,0 +1,218 @@
+#include "tests/process/node_process_test.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include "platform/platform.h"
+#include "platform/store_client.h"
+#include "src/adapters/clock.h"
+#include "src/adapters/fiber_sync.h"
+#include "src/adapters/http_client.h"
+
+namespace tanagerledge {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr milliseconds kAnswerTimeout{3000};
+constexpr milliseconds kStoreTimeout{2000};
+
+std::string FreeAddress() {
+  boost::asio::io_context io;
+  return FormatAddress(
+      boost::asio::ip::tcp::acceptor(io, ParseAddress("127.0.0.1:0").value())
+          .local_endpoint());
+}
+
+// Another build of the program may be tested, for example one with a fault.
+std::string NodeProgram() {
+  const char* other = std::getenv("NODE_PROGRAM");
+  return other == nullptr ? NODE_PROGRAM : other;
+}
+
+}  // namespace
+
+NodeProcessTest::NodeProcessTest()
+    : store(this->loop), backend(this->loop, kInstance) {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "node-XXXXXX").string();
+  this->folder = mkdtemp(pattern.data());
+  this->store_address =
+      "127.0.0.1:" + std::to_string(this->store.Listen(0).value());
+  this->loop.Start();
+}
+
+NodeProcessTest::~NodeProcessTest() {
+  this->beating = false;
+  this->process.reset();
+  this->loop.Spawn([this] {
+    this->backend.server.Close();
+    std::ranges::for_each(this->added_backends,
+                          [](auto& each) { each->server.Close(); });
+    this->store.Close();
+    this->loop.Stop();
+  });
+  this->loop.Join();
+  std::filesystem::remove_all(this->folder);
+}
+
+template <typename Work>
+auto NodeProcessTest::OnLoop(Work work) -> decltype(work()) {
+  return *RunOn(this->loop, Instant::max(), std::move(work));
+}
+
+void NodeProcessTest::SetUp() {
+  this->Configure();
+  this->WriteSettings();
+  // Nodes accept birth times of up to a minute in the future.
+  this->born_ms = UnixMilliseconds();
+  this->process =
+      std::make_unique<NodeProcess>(NodeProgram(), this->settings_path);
+  ASSERT_TRUE(this->process->Start());
+  this->loop.Spawn([this] {
+    while (this->beating) {
+      HttpRequest request;
+      request.method = "PUT";
+      request.target = std::string("/instances/") + kInstance;
+      request.body = this->NextHeartbeat().dump();
+      HttpClient client(this->loop, ParseAddress(this->admin).value());
+      const auto answer = client.Send(request, kAnswerTimeout);
+      static_cast<void>(answer);
+      client.Close();
+      this->loop.SleepFor(kHeartbeatPeriod);
+    }
+  });
+  ASSERT_TRUE(this->Eventually([this] { return this->CallStatus() == 200; },
+                               seconds(10)))
+      << this->ReadLog();
+}
+
+void NodeProcessTest::Configure() {
+  const json route = {{"host", "archive.example"},
+                      {"path_prefix", "/x/"},
+                      {"kind", "idempotent"},
+                      {"timeout_ms", 10'000},
+                      {"priority", 1},
+                      {"target_latency_ms", 500},
+                      {"service", "archive"},
+                      {"max_attempts", 2}};
+  const json config = {
+      {"version", 1},
+      {"routes", {{"archive", route}}},
+      {"services", {{"archive", {{"health_path", "/health"}}}}},
+      {"limits", json::object()}};
+  this->OnLoop([&] {
+    const auto client = platform::ConnectStore(this->loop, this->store_address);
+    EXPECT_TRUE(
+        client->Put("keyed.op", "config", config.dump(), kStoreTimeout));
+    client->Close();
+    return 0;
+  });
+}
+
+void NodeProcessTest::WriteSettings() {
+  this->node_address = FreeAddress();
+  this->front = FreeAddress();
+  this->admin = FreeAddress();
+  this->settings_path = this->folder + "/node.ini";
+  std::ofstream(this->settings_path)
+      << "[node]\nsource = platform\nfleet = test\naddress = "
+      << this->node_address << "\nzone = a\n[front]\naddress = " << this->front
+      << "\n[admin]\naddress = " << this->admin
+      << "\n[readiness]\naddress = " << FreeAddress()
+      << "\n[back_end]\nservice = archive\n[log]\naddress = "
+      << this->store_address
+      << "\n[membership]\nheartbeat_period = " << kHeartbeatPeriod.count()
+      << "ms\n[bounds]\na = drain_ms=2000\nb = grace_s=6\n"
+         "c = retry_budget_ratio=0.2\nd = budget_extra_retries=60\n"
+         "e = budget_window_s=10\n";
+}
+
+TestBackend& NodeProcessTest::AddBackend() {
+  return *this->added_backends.emplace_back(
+      std::make_unique<TestBackend>(this->loop, kInstance));
+}
+
+json NodeProcessTest::NextHeartbeat() {
+  return {{"service", "archive"},
+          {"address", this->backend.address},
+          {"zone", "a"},
+          {"version", "v1"},
+          {"slots", 4},
+          {"state", "ready"},
+          {"cold_remaining_ms", 0},
+          {"sequence", ++this->sequence},
+          {"born", this->born_ms}};
+}
+
+HttpResponse NodeProcessTest::Send(const std::string& address,
+                                   const HttpRequest& request) {
+  return this->OnLoop([&] {
+    HttpClient client(this->loop, ParseAddress(address).value());
+    auto response = client.Send(request, kAnswerTimeout);
+    client.Close();
+    return response.value_or(MakeResponse(0, "", ""));
+  });
+}
+
+int NodeProcessTest::SendToNode(const std::string& body,
+                                const std::string& instance,
+                                const char* method) {
+  HttpRequest request;
+  request.method = method;
+  request.target = "/instances/" + instance;
+  request.body = body;
+  return this->Send(this->admin, request).status;
+}
+
+HttpResponse NodeProcessTest::Call(milliseconds deadline) {
+  HttpRequest request;
+  request.target = "/x/1";
+  request.headers = {{"Host", "archive.example"},
+                     {"X-Attempt-Id", "id-" + std::to_string(++this->calls)},
+                     {"X-Deadline-Ms", std::to_string(deadline.count())}};
+  return this->Send(this->front, request);
+}
+
+std::future<int> NodeProcessTest::CallAsync() {
+  return std::async(std::launch::async, [this] { return this->CallStatus(); });
+}
+
+void NodeProcessTest::PutNodeRecord(const std::string& key,
+                                    const std::string& value) {
+  this->OnLoop([&] {
+    const auto client = platform::ConnectStore(this->loop, this->store_address);
+    EXPECT_TRUE(client->Put(platform::Platform{}.NodeStream(), key, value,
+                            kStoreTimeout));
+    client->Close();
+    return 0;
+  });
+}
+
+bool NodeProcessTest::Eventually(const std::function<bool()>& holds,
+                                 milliseconds within) {
+  const Instant until = Now() + within;
+  while (Now() < until) {
+    if (holds()) {
+      return true;
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  return false;
+}
+
+std::string NodeProcessTest::ReadLog() const {
+  std::stringstream text;
+  text << std::ifstream(this->settings_path + ".log").rdbuf();
+  return text.str();
+}
+
+}  // namespace tanagerledge
--- a/tests/routing/placement_test.cc
+++ b/tests/routing/placement_test.cc
@@ -74,6 +74,21 @@
   EXPECT_EQ(this->Choose(), "near");
 }
 
+// Its report has neither running nor waiting calls, which must not attract all
+// calls of the service.
+TEST_F(PlacementTest, BackendHasNoSlots_IsAvoidedForAWhileUnlessNoneIsLeft) {
+  this->placement.SetEndpoints(
+      {EndpointAt("none", "a"), EndpointAt("full", "a")});
+  LoadReport none;
+  none.service_time = milliseconds(80);
+  this->Report("full", Load(10, 30, milliseconds(80)));
+  this->Report("none", none);
+  EXPECT_EQ(this->Choose(), "full");
+  EXPECT_EQ(this->Choose({{"full"}}), "none");
+  this->now += milliseconds(150);
+  EXPECT_EQ(this->Choose(), "none");
+}
+
 TEST_F(PlacementTest, OneBackendIsSlow_OtherIsChosen) {
   this->placement.SetEndpoints(
       {EndpointAt("slow", "a"), EndpointAt("fast", "a")});
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -853,6 +853,9 @@
   odd.address = "127.0.0.1:99999";
   odd.sequence = -1;
   odd.born_ms = std::numeric_limits<std::int64_t>::min();
+  wire::QuarantineRecord quarantine;
+  quarantine.until_unix_ms = std::numeric_limits<std::int64_t>::min();
+  odd.__set_quarantined({quarantine});
   put("127.0.0.1:1", Encode(odd));
   put("127.0.0.1:0", Encode(odd));
   put("127.0.0.1:65536", Encode(odd));
