--- a/include/tanagerledge/backend_life.h
+++ b/include/tanagerledge/backend_life.h
@@ -109,6 +109,18 @@
   bool MayRun(const ServiceName& service, Instant now) const;
 
  private:
+  // Counts heartbeats that arrive in order.
+  class OrderedRun {
+   public:
+    // Returns how many heartbeats in order end with this one: 1 if it is older
+    // than the last one, 0 if it is the last one again.
+    int Add(std::uint64_t sequence);
+
+   private:
+    std::uint64_t last = 0;
+    int length = 0;
+  };
+
   // Identifies one start of a backend server.
   struct Start {
     std::string instance;
@@ -137,6 +149,8 @@
   BackendLifeConfig config;
   std::optional<Heartbeat> current;
   Instant last_heartbeat{};
+  // Heartbeats of the current start whose sequence numbers are too low.
+  OrderedRun low_heartbeats;
   int heartbeats = 0;  // Heartbeats of the current start, in order.
   std::optional<Instant> leave_time;  // When its leave was acknowledged.
   // Set if an older start of the same name announced the leave: the number of
@@ -145,7 +159,7 @@
   Instant grace_end{};  // Calls already on their way are accepted until then.
   bool dead = false;
   std::optional<Heartbeat> candidate;
-  int candidate_heartbeats = 0;  // In-order heartbeats of the candidate.
+  OrderedRun candidate_heartbeats;
   // Starts that have left. Their heartbeats are stale.
   std::deque<Start> retired;
   // A leave of an instance that was unknown then. It has no birth time, so it
--- a/src/membership/backend_life.cc
+++ b/src/membership/backend_life.cc
@@ -17,6 +17,16 @@
 
 }  // namespace
 
+int BackendLife::OrderedRun::Add(std::uint64_t sequence) {
+  if (this->length > 0 && sequence == this->last) {
+    return 0;
+  }
+  const bool in_order = sequence > this->last;
+  this->length = in_order ? this->length + 1 : 1;
+  this->last = sequence;
+  return this->length;
+}
+
 HeartbeatVerdict BackendLife::OnHeartbeat(const Heartbeat& heartbeat,
                                           Instant now) {
   if (this->IsRetired(StartOf(heartbeat))) {
@@ -43,6 +53,11 @@
     this->BeginLeave(now, this->config.drain_grace_period);
     return HeartbeatVerdict::kChanged;
   }
+  // Late heartbeats arrive singly, so several in order mean that the known
+  // sequence number is too high.
+  if (this->low_heartbeats.Add(heartbeat.sequence) >= kHeartbeatsToConfirm) {
+    return this->Adopt(heartbeat, now);
+  }
   return HeartbeatVerdict::kStale;
 }
 
@@ -76,20 +91,20 @@
   // Late heartbeats of earlier starts arrive singly and are not worth a health
   // check.
   constexpr int kHeartbeatsToCheckOlderStart = 2;
-  const bool same_start =
-      this->candidate && StartOf(*this->candidate) == StartOf(heartbeat);
-  if (same_start && heartbeat.sequence <= this->candidate->sequence) {
+  if (!this->candidate || StartOf(*this->candidate) != StartOf(heartbeat)) {
+    this->candidate_heartbeats = {};
+  }
+  const int in_order = this->candidate_heartbeats.Add(heartbeat.sequence);
+  if (in_order == 0) {
     return HeartbeatVerdict::kStale;
   }
   this->candidate = heartbeat;
-  this->candidate_heartbeats = same_start ? this->candidate_heartbeats + 1 : 1;
-  if (this->candidate_heartbeats >= kHeartbeatsToConfirm &&
+  if (in_order >= kHeartbeatsToConfirm &&
       !this->LastUnknownLeave(heartbeat.instance)) {
     return this->Adopt(heartbeat, now);
   }
-  const bool worth_a_check =
-      !this->IsOlderStart(heartbeat) ||
-      this->candidate_heartbeats >= kHeartbeatsToCheckOlderStart;
+  const bool worth_a_check = !this->IsOlderStart(heartbeat) ||
+                             in_order >= kHeartbeatsToCheckOlderStart;
   return worth_a_check ? HeartbeatVerdict::kUnconfirmed
                        : HeartbeatVerdict::kStale;
 }
@@ -113,6 +128,7 @@
                                      : std::chrono::milliseconds{0});
   }
   this->current = heartbeat;
+  this->low_heartbeats = {};
   this->last_heartbeat = now;
   this->dead = false;
   this->candidate.reset();
--- a/tests/membership/backend_life_property_test.cc
+++ b/tests/membership/backend_life_property_test.cc
@@ -19,6 +19,8 @@
 // Maximum number of steps in a schedule. RapidCheck starts with short
 // schedules.
 constexpr int kMaxScheduleSteps = 200;
+// Unix time of the backend server's start.
+constexpr std::int64_t kBirthMs = 1'000'000;
 
 // One backend server and its node. Both clocks start at 0.
 class BackendSimulation {
@@ -100,8 +102,6 @@
   bool HasLeft() const { return this->has_left; }
 
  private:
-  static constexpr std::int64_t kBirthMs = 1'000'000;
-
   struct HealthCheck {
     Heartbeat heartbeat;
     Instant started{};
@@ -214,13 +214,13 @@
   RC_ASSERT(simulation.AcceptsCalls());
 }
 
-// Other writers send single messages under other names, and for other starts of
-// the same name. One with the very name and birth time of the backend server
-// can't be told from its own.
+// Other writers send single messages under other names, for other starts of the
+// same name, and in the very name of the backend server. Only a leave in its
+// very name and with its birth time can't be told from its own.
 Heartbeat OddHeartbeat(int kind, int number) {
   Heartbeat heartbeat;
   heartbeat.instance = kind % 3 == 0 ? "i1" : "odd" + std::to_string(number);
-  heartbeat.born_ms = 999'000 + number + (number < 1000 ? 0 : 1);
+  heartbeat.born_ms = kBirthMs - 1000 + number + (number < 1000 ? 0 : 1);
   heartbeat.sequence = static_cast<std::uint64_t>(number);
   heartbeat.service = {"claims"};
   heartbeat.address = "10.0.0.1:81";
@@ -229,6 +229,16 @@
   return heartbeat;
 }
 
+// A ready heartbeat with the name and birth time of the backend server.
+Heartbeat ForgedHeartbeat(int kind, int number) {
+  Heartbeat heartbeat = OddHeartbeat(3, number);
+  heartbeat.born_ms = kBirthMs;
+  heartbeat.sequence = kind % 2 == 0 ? 1ULL << 53U : heartbeat.sequence;
+  heartbeat.address = "10.0.0.1:80";
+  heartbeat.slots = kind % 7 == 0 ? 0 : 1;
+  return heartbeat;
+}
+
 // The backend server lives all the while: whatever single messages arrive, it
 // accepts calls again after three of its heartbeats, and its leave is obeyed.
 RC_GTEST_PROP(BackendLifeProperty,
@@ -239,7 +249,7 @@
   Instant now = Instant{} + std::chrono::hours(1);
   Heartbeat own;
   own.instance = "i1";
-  own.born_ms = 1'000'000;
+  own.born_ms = kBirthMs;
   own.service = {"claims"};
   own.address = "10.0.0.1:80";
   own.slots = 13;
@@ -250,9 +260,12 @@
   const auto steps = *rc::gen::resize(
       kMaxScheduleSteps,
       rc::gen::container<std::vector<std::pair<int, int>>>(
-          rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(1, 3000))));
+          rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(1, 3000))));
   for (const auto& [step, amount] : steps) {
-    if (step < 6) {
+    if (step == 8) {
+      life.OnHeartbeat(ForgedHeartbeat(amount, amount), now);
+      now += milliseconds(amount % 400);
+    } else if (step < 6) {
       life.OnHeartbeat(OddHeartbeat(step, amount), now);
       now += milliseconds(amount % 400);
     } else if (step == 6) {
@@ -268,6 +281,8 @@
   }
   RC_ASSERT(life.MayRun({"claims"}, now));
   RC_ASSERT(life.known()->instance == "i1");
+  RC_ASSERT(life.known()->address == own.address);
+  RC_ASSERT(life.known()->slots == own.slots);
   if (*rc::gen::arbitrary<bool>()) {
     life.OnHeartbeat(OddHeartbeat(3, 2500), now);
   }
--- a/tests/membership/backend_life_test.cc
+++ b/tests/membership/backend_life_test.cc
@@ -180,6 +180,36 @@
   EXPECT_FALSE(this->MayRun());
 }
 
+// Guards against a server that one message with a sequence number that is far
+// too high silences for good.
+TEST_F(BackendLifeTest, SequenceFarTooHigh_ThreeHeartbeatsBelowAreAccepted) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 1ULL << 53U), this->now);
+  for (std::uint64_t sequence = 4; sequence < 6; ++sequence) {
+    this->now += milliseconds(1500);
+    EXPECT_EQ(this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, sequence),
+                                     this->now),
+              HeartbeatVerdict::kStale);
+  }
+  this->now += milliseconds(1500);
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 6), this->now);
+  this->now += milliseconds(4400);
+  EXPECT_TRUE(this->MayRun());
+  EXPECT_EQ(this->life.known()->sequence, 6u);
+}
+
+TEST_F(BackendLifeTest, LateAndDoubledHeartbeats_ChangeNothing) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 9), this->now);
+  for (const std::uint64_t sequence : {7, 7, 8, 8, 7, 9, 9, 8, 8, 3}) {
+    Heartbeat late = this->MakeHeartbeat("i1", 5, sequence);
+    late.slots = 1;
+    EXPECT_EQ(this->life.OnHeartbeat(late, this->now),
+              HeartbeatVerdict::kStale);
+  }
+  EXPECT_EQ(this->life.known()->slots, 13);
+  EXPECT_EQ(this->life.known()->sequence, 9u);
+}
+
 // The newer start of the name may be another writer's.
 TEST_F(BackendLifeTest, OlderStartOfSameNameDrains_DrainsUntilNewerIsProven) {
   this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
@@ -272,6 +302,17 @@
   EXPECT_TRUE(this->MayRun());
 }
 
+// Guards against a server that is never confirmed since one message in its name
+// has a sequence number that is far too high.
+TEST_F(RestartedNodeTest, FirstSequenceFarTooHigh_ThreeHeartbeatsConfirm) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 1ULL << 53U), this->now);
+  for (std::uint64_t sequence = 7; sequence < 10; ++sequence) {
+    EXPECT_FALSE(this->MayRun());
+    this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, sequence), this->now);
+  }
+  EXPECT_TRUE(this->MayRun());
+}
+
 TEST_F(RestartedNodeTest, LeftBeforeFirstHeartbeat_HeartbeatsDoNotConfirm) {
   this->life.OnLeave("i1", this->now);
   for (std::uint64_t sequence = 1; sequence < 9; ++sequence) {
--- a/tests/process/hostile_heartbeat_test.cc
+++ b/tests/process/hostile_heartbeat_test.cc
@@ -86,6 +86,15 @@
   EXPECT_TRUE(this->IsRunning()) << this->ReadLog();
 }
 
+// Guards against a server that is silenced for good by one message whose
+// sequence number is far too high.
+TEST_F(HostileHeartbeatTest, SequenceFarTooHigh_ServerIsServedOn) {
+  json odd = this->NextHeartbeat();
+  odd["sequence"] = std::int64_t{1} << 53;
+  EXPECT_EQ(this->SendToNode(odd.dump()), 200);
+  this->ExpectAllServed();
+}
+
 // Guards against a process that ends without a line in its log.
 TEST_F(HostileHeartbeatTest, EndedByASignalOfItsOwn_LogsTheSignal) {
   this->process->Signal(SIGSEGV);
