--- a/include/tanagerledge/backend_life.h
+++ b/include/tanagerledge/backend_life.h
@@ -12,11 +12,13 @@
 // server that may already have left must therefore be confirmed by a health
 // check first (NeedsConfirmation).
 //
-// A backend server that is known to live is not displaced by one message, which
-// may come from another writer: the newcomer must be confirmed too. One that
-// was displaced without having left returns when it is confirmed. Three
-// heartbeats in order, with none of the current backend server in between,
-// replace a health check, so that no displacement lasts longer than that.
+// A backend server that is known to live is not displaced or silenced by one
+// message, which may come from another writer. A newcomer must be confirmed
+// too, unless it is a newer start at the same place. One that was displaced
+// without having left returns when it is confirmed. Three heartbeats in order,
+// with none of the current backend server in between, replace a health check,
+// so that no displacement lasts longer than that. After a heartbeat with a
+// sequence number that is far too high, three in order below it are accepted.
 //
 // The class does no I/O and reads no clock: callers pass in heartbeats and the
 // current time.
@@ -90,8 +92,9 @@
   // during the grace period. Returns true if it is the current backend server.
   bool OnLeave(const std::string& instance, Instant now);
   // Handles evidence that the backend server is dead: nothing listens at its
-  // address, or another instance answers there.
-  void OnDied(const std::string& instance);
+  // address, or another instance answers there. Returns true if a newcomer that
+  // had to wait because this one seemed to live takes its place.
+  bool OnDied(const std::string& instance, Instant now);
 
   // Queries ------------------------------------------------------------------
 
@@ -136,6 +139,8 @@
   void Retire(const Start& start);
   bool IsOlderStart(const Heartbeat& heartbeat) const;
   bool IsCurrent(const Heartbeat& heartbeat) const;
+  bool IsAtCurrentPlace(const Heartbeat& heartbeat) const;
+  bool IsCandidate(const Heartbeat& heartbeat) const;
   bool NeedsConfirmation(const Heartbeat& heartbeat, Instant now) const;
   HeartbeatVerdict OnCurrentHeartbeat(const Heartbeat& heartbeat, Instant now);
   HeartbeatVerdict OnOtherDraining(const Heartbeat& heartbeat, Instant now);
@@ -160,6 +165,7 @@
   bool dead = false;
   std::optional<Heartbeat> candidate;
   OrderedRun candidate_heartbeats;
+  Instant candidate_heard{};
   // Starts that have left. Their heartbeats are stale.
   std::deque<Start> retired;
   // A leave of an instance that was unknown then. It has no birth time, so it
--- a/src/membership/backend_life.cc
+++ b/src/membership/backend_life.cc
@@ -32,7 +32,8 @@
   if (this->IsRetired(StartOf(heartbeat))) {
     return HeartbeatVerdict::kStale;
   }
-  if (this->IsCurrent(heartbeat)) {
+  if (this->IsCurrent(heartbeat) &&
+      (heartbeat.draining || this->IsAtCurrentPlace(heartbeat))) {
     return this->OnCurrentHeartbeat(heartbeat, now);
   }
   if (heartbeat.draining && this->current) {
@@ -45,7 +46,8 @@
 
 HeartbeatVerdict BackendLife::OnCurrentHeartbeat(const Heartbeat& heartbeat,
                                                  Instant now) {
-  if (heartbeat.sequence > this->current->sequence) {
+  const bool same_place = this->IsAtCurrentPlace(heartbeat);
+  if (same_place && heartbeat.sequence > this->current->sequence) {
     return this->Adopt(heartbeat, now);
   }
   // Draining is final for a start, even if its heartbeats arrive out of order.
@@ -55,7 +57,8 @@
   }
   // Late heartbeats arrive singly, so several in order mean that the known
   // sequence number is too high.
-  if (this->low_heartbeats.Add(heartbeat.sequence) >= kHeartbeatsToConfirm) {
+  if (same_place &&
+      this->low_heartbeats.Add(heartbeat.sequence) >= kHeartbeatsToConfirm) {
     return this->Adopt(heartbeat, now);
   }
   return HeartbeatVerdict::kStale;
@@ -73,7 +76,7 @@
     return this->Adopt(heartbeat, now);
   }
   this->Retire(StartOf(heartbeat));
-  if (this->candidate && StartOf(*this->candidate) == StartOf(heartbeat)) {
+  if (this->IsCandidate(heartbeat)) {
     this->candidate.reset();
   }
   // The start that took its name has sent a single message, perhaps from
@@ -91,7 +94,9 @@
   // Late heartbeats of earlier starts arrive singly and are not worth a health
   // check.
   constexpr int kHeartbeatsToCheckOlderStart = 2;
-  if (!this->candidate || StartOf(*this->candidate) != StartOf(heartbeat)) {
+  if (!this->IsCandidate(heartbeat) ||
+      this->candidate->address != heartbeat.address ||
+      this->candidate->service != heartbeat.service) {
     this->candidate_heartbeats = {};
   }
   const int in_order = this->candidate_heartbeats.Add(heartbeat.sequence);
@@ -99,6 +104,7 @@
     return HeartbeatVerdict::kStale;
   }
   this->candidate = heartbeat;
+  this->candidate_heard = now;
   if (in_order >= kHeartbeatsToConfirm &&
       !this->LastUnknownLeave(heartbeat.instance)) {
     return this->Adopt(heartbeat, now);
@@ -164,13 +170,16 @@
   const auto last_leave = this->LastUnknownLeave(heartbeat.instance);
   const bool heard_from_current =
       this->current && !this->dead && this->last_heartbeat >= asked_at;
-  if (this->IsRetired(StartOf(heartbeat)) || this->IsCurrent(heartbeat) ||
-      heard_from_current || (last_leave && *last_leave >= asked_at)) {
+  const bool known =
+      this->IsCurrent(heartbeat) && this->IsAtCurrentPlace(heartbeat);
+  if (this->IsRetired(StartOf(heartbeat)) || known || heard_from_current ||
+      (last_leave && *last_leave >= asked_at)) {
     return false;
   }
   // A heartbeat that arrived after the health check was sent is newer.
   const bool has_newer_heartbeat =
-      this->candidate && StartOf(*this->candidate) == StartOf(heartbeat) &&
+      this->IsCandidate(heartbeat) &&
+      this->candidate->address == heartbeat.address &&
       this->candidate->sequence > heartbeat.sequence;
   this->Adopt(has_newer_heartbeat ? *this->candidate : heartbeat, now);
   return true;
@@ -183,7 +192,7 @@
       this->BeginLeave(now, std::chrono::milliseconds{0});
     }
   }
-  if (this->candidate && StartOf(*this->candidate) == StartOf(heartbeat)) {
+  if (this->IsCandidate(heartbeat)) {
     this->candidate.reset();
   }
   this->Retire(StartOf(heartbeat));
@@ -214,10 +223,18 @@
   this->grace_end = now + grace;
 }
 
-void BackendLife::OnDied(const std::string& instance) {
-  if (this->current && this->current->instance == instance) {
-    this->dead = true;
+bool BackendLife::OnDied(const std::string& instance, Instant now) {
+  if (!this->current || this->current->instance != instance) {
+    return false;
+  }
+  this->dead = true;
+  const bool replaced =
+      this->candidate && !this->NeedsConfirmation(*this->candidate, now) &&
+      now - this->candidate_heard <= this->config.heartbeat_timeout;
+  if (replaced) {
+    this->Adopt(Heartbeat(*this->candidate), now);
   }
+  return replaced;
 }
 
 EndpointState BackendLife::State(Instant now) const {
@@ -271,10 +288,20 @@
   return this->current && StartOf(*this->current) == StartOf(heartbeat);
 }
 
+// A start keeps its address and its service.
+bool BackendLife::IsAtCurrentPlace(const Heartbeat& heartbeat) const {
+  return this->current && this->current->address == heartbeat.address &&
+         this->current->service == heartbeat.service;
+}
+
+bool BackendLife::IsCandidate(const Heartbeat& heartbeat) const {
+  return this->candidate && StartOf(*this->candidate) == StartOf(heartbeat);
+}
+
 // Whether the backend server, which is not the current one, may have left
 // without this start of the node knowing its identity, or would displace one
 // that is newer or lives. A name belongs to one process at a time, so a newer
-// start of the current name takes its place at once.
+// start of the current name at the same place takes its place at once.
 bool BackendLife::NeedsConfirmation(const Heartbeat& heartbeat,
                                     Instant now) const {
   if (heartbeat.draining) {
@@ -284,7 +311,8 @@
       this->config.node_started_ms &&
       heartbeat.born_ms < *this->config.node_started_ms + kMaxClockStepMs;
   const bool displaces_live = this->State(now) == EndpointState::kReady &&
-                              this->current->instance != heartbeat.instance;
+                              (this->current->instance != heartbeat.instance ||
+                               !this->IsAtCurrentPlace(heartbeat));
   return older_than_node || displaces_live || this->IsOlderStart(heartbeat) ||
          this->LastUnknownLeave(heartbeat.instance);
 }
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -408,7 +408,7 @@
       return NotRun(Reason::kBackendRefused,
                     "the backend server did not run it");
     case AnswerKind::kWrongInstance:
-      this->life.OnDied(call.instance);
+      this->OnBackendDied(call.instance);
       this->events.Write("back end replaced", {{"id", request.attempt_id},
                                                {"instance", call.instance}});
       return NotRun(Reason::kBackendRefused, "another instance answered");
@@ -548,7 +548,7 @@
          {"listening", std::int64_t{listening}},
          {"lost_calls", static_cast<std::int64_t>(this->lost_calls.size())}});
     if (!listening) {
-      this->life.OnDied(newest.instance);
+      this->OnBackendDied(newest.instance);
       this->death_rechecked = true;
       this->ReportDeathOf(newest);
     }
@@ -559,6 +559,16 @@
   this->checking_death = false;
 }
 
+void BackendGateway::OnBackendDied(const std::string& instance) {
+  const Instant now = Now();
+  if (this->life.OnDied(instance, now)) {
+    this->events.Write("back end replaced after its death",
+                       {{"instance", this->life.known()->instance},
+                        {"born_ms", this->life.known()->born_ms}});
+    this->ApplyActions(this->queue.OnSlots(this->life.known()->slots, now));
+  }
+}
+
 bool BackendGateway::HasListeningBackend() {
   return this->life.known() &&
          this->link.IsListening(BackendId{this->life.known()->address});
--- a/src/sidecar/backend_gateway.h
+++ b/src/sidecar/backend_gateway.h
@@ -160,6 +160,7 @@
   wire::CallReply ToCallReply(HttpResponse&& answer) const;
   void OnConnectionLost(const Call& call);
   void DetectBackendDeath();
+  void OnBackendDied(const std::string& instance);
   bool HasListeningBackend();
   bool HasUncheckedSuspect() const;
   bool IsReplaced(const LostCall& lost) const;
--- a/tests/membership/backend_life_property_test.cc
+++ b/tests/membership/backend_life_property_test.cc
@@ -234,7 +234,8 @@
   Heartbeat heartbeat = OddHeartbeat(3, number);
   heartbeat.born_ms = kBirthMs;
   heartbeat.sequence = kind % 2 == 0 ? 1ULL << 53U : heartbeat.sequence;
-  heartbeat.address = "10.0.0.1:80";
+  heartbeat.service = {kind % 3 == 0 ? "archive" : "claims"};
+  heartbeat.address = kind % 5 == 0 ? "10.0.0.1:81" : "10.0.0.1:80";
   heartbeat.slots = kind % 7 == 0 ? 0 : 1;
   return heartbeat;
 }
@@ -269,7 +270,7 @@
       life.OnHeartbeat(OddHeartbeat(step, amount), now);
       now += milliseconds(amount % 400);
     } else if (step == 6) {
-      life.OnDied("i1");
+      life.OnDied("i1", now);
     } else {
       beat();
       now += kHeartbeatPeriod;
--- a/tests/membership/backend_life_test.cc
+++ b/tests/membership/backend_life_test.cc
@@ -131,7 +131,7 @@
   this->life.OnHeartbeat(this->MakeHeartbeat("odd", 9, 1, true), this->now);
   EXPECT_EQ(this->life.State(this->now), EndpointState::kReady);
   // Its leave is acknowledged all the same.
-  this->life.OnDied("i1");
+  this->life.OnDied("i1", this->now);
   EXPECT_EQ(this->life.OnHeartbeat(this->MakeHeartbeat("odd", 9, 2), this->now),
             HeartbeatVerdict::kStale);
 }
@@ -159,7 +159,7 @@
 
 TEST_F(BackendLifeTest, DisplacedWithoutLeave_ReturnsByThreeHeartbeats) {
   this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
-  this->life.OnDied("i1");
+  this->life.OnDied("i1", this->now);
   this->life.OnHeartbeat(this->MakeHeartbeat("odd", 9, 1), this->now);
   EXPECT_EQ(this->life.known()->instance, "odd");
   for (std::uint64_t sequence = 4; sequence < 7; ++sequence) {
@@ -173,7 +173,7 @@
 TEST_F(BackendLifeTest, LeftBeforeReplacement_HeartbeatsDoNotReturnIt) {
   this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3, true), this->now);
   this->life.OnHeartbeat(this->MakeHeartbeat("i2", 9, 1), this->now);
-  this->life.OnDied("i2");
+  this->life.OnDied("i2", this->now);
   for (std::uint64_t sequence = 4; sequence < 9; ++sequence) {
     this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, sequence), this->now);
   }
@@ -210,6 +210,65 @@
   EXPECT_EQ(this->life.known()->sequence, 9u);
 }
 
+// Guards against a server that one message of a newer start of its name, at an
+// address where nobody listens, displaces.
+TEST_F(BackendLifeTest, NewerStartOfSameNameAtOtherAddress_LiveOneStays) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  Heartbeat odd = this->MakeHeartbeat("i1", 9, 4);
+  odd.address = "10.0.0.1:81";
+  EXPECT_EQ(this->life.OnHeartbeat(odd, this->now),
+            HeartbeatVerdict::kUnconfirmed);
+  EXPECT_EQ(this->life.known()->address, "10.0.0.1:80");
+  EXPECT_TRUE(this->MayRun());
+  EXPECT_EQ(this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 4), this->now),
+            HeartbeatVerdict::kUnchanged);
+}
+
+// The same for a message with the birth time of the server itself.
+TEST_F(BackendLifeTest, SameStartAtOtherAddressOrService_LiveOneStays) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  Heartbeat moved = this->MakeHeartbeat("i1", 5, 4);
+  moved.address = "10.0.0.1:81";
+  Heartbeat changed = this->MakeHeartbeat("i1", 5, 4);
+  changed.service = {"certifier"};
+  for (const Heartbeat& odd : {moved, changed}) {
+    EXPECT_EQ(this->life.OnHeartbeat(odd, this->now),
+              HeartbeatVerdict::kUnconfirmed);
+    EXPECT_EQ(this->life.known()->address, "10.0.0.1:80");
+    EXPECT_TRUE(this->MayRun());
+  }
+}
+
+TEST_F(BackendLifeTest, RestartAtOtherAddressAnswersHealthCheck_TakesOver) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  this->now += milliseconds(500);
+  Heartbeat next = this->MakeHeartbeat("i1", 9, 1);
+  next.address = "10.0.0.1:81";
+  this->life.OnHeartbeat(next, this->now);
+  EXPECT_TRUE(
+      this->life.OnConfirmed(next, this->now, this->now + milliseconds(2)));
+  EXPECT_EQ(this->life.known()->address, "10.0.0.1:81");
+}
+
+TEST_F(BackendLifeTest, RestartAtOtherAddressAndOldOneDied_TakesOver) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  Heartbeat next = this->MakeHeartbeat("i1", 9, 1);
+  next.address = "10.0.0.1:81";
+  this->life.OnHeartbeat(next, this->now);
+  EXPECT_TRUE(this->life.OnDied("i1", this->now));
+  EXPECT_EQ(this->life.known()->address, "10.0.0.1:81");
+  EXPECT_TRUE(this->MayRun());
+}
+
+// A newcomer that was not heard for long may be gone as well.
+TEST_F(BackendLifeTest, NewcomerNotHeardForLong_DoesNotReplaceTheDead) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  this->life.OnHeartbeat(this->MakeHeartbeat("i2", 9, 1), this->now);
+  this->now += milliseconds(4501);
+  EXPECT_FALSE(this->life.OnDied("i1", this->now));
+  EXPECT_FALSE(this->MayRun());
+}
+
 // The newer start of the name may be another writer's.
 TEST_F(BackendLifeTest, OlderStartOfSameNameDrains_DrainsUntilNewerIsProven) {
   this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
@@ -231,7 +290,7 @@
 
 TEST_F(BackendLifeTest, Died_NextHeartbeatRestoresIt) {
   this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 1), this->now);
-  this->life.OnDied("i1");
+  this->life.OnDied("i1", this->now);
   EXPECT_FALSE(this->MayRun());
   EXPECT_EQ(this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 2), this->now),
             HeartbeatVerdict::kChanged);
--- a/tests/process/hostile_heartbeat_test.cc
+++ b/tests/process/hostile_heartbeat_test.cc
@@ -95,6 +95,56 @@
   this->ExpectAllServed();
 }
 
+// Guards against a server that is displaced by one message of a newer start of
+// its name, at an address where nobody listens.
+TEST_F(HostileHeartbeatTest, NewerStartWhereNobodyListens_ServerIsServedOn) {
+  json odd = this->NextHeartbeat();
+  odd["born"] = BornLater();
+  odd["address"] = "127.0.0.1:1";
+  EXPECT_EQ(this->SendToNode(odd.dump()), 200);
+  this->ExpectAllServed();
+}
+
+// A true restart of the same name at another address, under load: callers find
+// it at once.
+TEST_F(HostileHeartbeatTest, RestartAtOtherAddress_CallsRunThere) {
+  constexpr int kCallers = 8;
+  constexpr milliseconds kSettled{500};
+  TestBackend& next = this->AddBackend();
+  std::atomic<bool> ended{false};
+  std::atomic<Instant> settled_at{Instant::max()};
+  std::atomic<int> failed{0};
+  std::atomic<int> failed_later{0};
+  std::vector<std::future<void>> callers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.push_back(std::async(std::launch::async, [&] {
+      while (!ended) {
+        const Instant began = Now();
+        const bool lost = this->CallStatus() != 200;
+        failed += lost ? 1 : 0;
+        failed_later += lost && began > settled_at.load() ? 1 : 0;
+      }
+    }));
+  }
+  std::this_thread::sleep_for(kSettled);
+  this->StopHeartbeats();
+  json heartbeat = this->NextHeartbeat();
+  heartbeat["born"] = BornLater();
+  heartbeat["address"] = next.address;
+  heartbeat["sequence"] = 1;
+  this->loop.Spawn([this] { this->backend.server.Close(); });
+  settled_at = Now() + kSettled;
+  EXPECT_EQ(this->SendToNode(heartbeat.dump()), 200);
+  // The backend server counts as gone after three periods without a heartbeat.
+  std::this_thread::sleep_for(kSettled + kHeartbeatPeriod);
+  ended = true;
+  std::ranges::for_each(callers, [](auto& caller) { caller.wait(); });
+  EXPECT_EQ(failed_later, 0);
+  EXPECT_FALSE(next.Ran().empty());
+  this->RecordProperty("failed", failed);
+  std::cout << failed << " calls failed around the restart\n";
+}
+
 // Guards against a process that ends without a line in its log.
 TEST_F(HostileHeartbeatTest, EndedByASignalOfItsOwn_LogsTheSignal) {
   this->process->Signal(SIGSEGV);
