--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -915,7 +915,37 @@
       [&] { return this->Call(archive, "archive.example").status == 200; }));
 }
 
-// The service is unknown until a later configuration names it.
+// Guards against a server whose leave is acknowledged and not obeyed (DRAIN),
+// after one heartbeat in its name without a birth time.
+TEST_F(SidecarTest, HeartbeatWithoutBirthTime_LaterLeaveIsObeyed) {
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  this->SendHeartbeat(archive, this->first_backend);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+  HttpRequest request;
+  request.method = "PUT";
+  request.target = "/instances/" + this->first_backend.instance;
+  request.body = json{{"service", "archive"},
+                      {"address", this->first_backend.address},
+                      {"zone", "a"},
+                      {"version", "v1"},
+                      {"slots", 4},
+                      {"state", "ready"},
+                      {"cold_remaining_ms", 0},
+                      {"sequence", ++this->heartbeat_count}}
+                     .dump();
+  EXPECT_EQ(this->Send(archive.admin_address, request).status, 400);
+  EXPECT_EQ(this->Call(archive, "archive.example").status, 200);
+  this->first_backend.leaving = true;
+  this->SendHeartbeat(archive, this->first_backend, "draining");
+  this->OnLoop(
+      [this] { return this->fakes_loop.SleepFor(milliseconds(1100)); });
+  EXPECT_TRUE(this->NoCallReaches(this->first_backend, archive));
+}
+
+// Guards against a server that is lost until the node's next start (RECOVER),
+// after one heartbeat of a service that nobody names.
 TEST_F(SidecarTest, HeartbeatOfUnnamedService_LeavesBackendInPlace) {
   const Settings& archive = this->Start("archive");
   this->Configure(1);
@@ -937,6 +967,8 @@
       {"born", 2000}}.dump();
   EXPECT_EQ(this->Send(archive.admin_address, request).status, 400);
   EXPECT_EQ(this->Call(archive, "archive.example").status, 200);
+  this->SendHeartbeat(archive, this->first_backend);
+  EXPECT_EQ(this->Call(archive, "archive.example").status, 200);
   this->Deregister(archive, this->first_backend);
   EXPECT_TRUE(this->Eventually(
       [&] { return this->NoCallReaches(this->first_backend, archive); }));
