Properties don't rely on a short circuit that RC_ASSERT does not have

RC_ASSERT captures its expression, so that both sides of || are evaluated. Two properties then looked into an empty optional, which _GLIBCXX_ASSERTIONS ends: PausedBeyondTombstoneLifetime_DeadNodeStaysDead and AnyEndpoints_OnlyEligibleOnesOfTheServiceAreChosen. Parentheses around the expressions; they check the same.

--- a/tests/membership/membership_property_test.cc
+++ b/tests/membership/membership_property_test.cc
@@ -182,7 +182,7 @@
         const auto& [machine, earlier] = before[i];
         if (machine == &fleet.at(i)) {
           for (const auto& [node, version] : earlier) {
-            RC_ASSERT(!versions.contains(node) || versions[node] >= version);
+            RC_ASSERT((!versions.contains(node) || versions[node] >= version));
           }
         }
         before[i] = {&fleet.at(i), std::move(versions)};
@@ -222,7 +222,7 @@
     fleet.RunFor(milliseconds(500));
     for (std::size_t other = 0; other < 3; ++other) {
       const auto view = fleet.View(other, dead);
-      RC_ASSERT(!view || view->state != MemberState::kAlive);
+      RC_ASSERT((!view || view->state != MemberState::kAlive));
     }
   }
   RC_ASSERT(fleet.Converged() || !fleet.View(paused_node, dead));
--- a/tests/routing/endpoint_chooser_test.cc
+++ b/tests/routing/endpoint_chooser_test.cc
@@ -204,7 +204,7 @@
     const auto chosen = chooser.Choose(snapshot, {"claims"}, {"urgent"},
                                        {"skf"}, {"z1"}, excluded, now, rng);
     RC_ASSERT(chosen.has_value() == !eligible.empty());
-    RC_ASSERT(!chosen || eligible.contains(*chosen));
+    RC_ASSERT((!chosen || eligible.contains(*chosen)));
     if (chosen) {
       chooser.OnStart(*chosen);
       chooser.OnReply(*chosen, {"urgent"}, {"skf"},
