--- a/benchmarks/call_benchmark.cc
+++ b/benchmarks/call_benchmark.cc
@@ -124,7 +124,7 @@
                               body.value_or(std::string()));
         }) {
     this->handlers.on_request[static_cast<std::size_t>(Channel::kCall)] =
-        [this](const NodeId&, std::string_view target) {
+        [this](const NodeId&, std::string_view target, Instant) {
           HttpRequest request;
           request.target = std::string(target);
           const auto answer = this->client.Send(request, kCallTimeout);
--- a/include/tanagerledge/ports.h
+++ b/include/tanagerledge/ports.h
@@ -51,9 +51,11 @@
 class PeerPort {
  public:
   // Handles a request and returns the reply to send back. `from` is the node id
-  // from the peer's Hello.
-  using RequestHandler =
-      std::function<std::string(const NodeId& from, std::string_view request)>;
+  // from the peer's Hello. The handler may begin later than the request
+  // arrived, when the loop has much to do.
+  using RequestHandler = std::function<std::string(const NodeId& from,
+                                                   std::string_view request,
+                                                   Instant arrived)>;
   // Handles a one-way message.
   using MessageHandler =
       std::function<void(const NodeId& from, std::string_view message)>;
--- a/src/adapters/peer_transport.cc
+++ b/src/adapters/peer_transport.cc
@@ -489,18 +489,18 @@
     if (!handler) {
       return;
     }
-    this->transport.loop.SpawnHere([self = this->shared_from_this(), &handler,
-                                    channel = frame.channel, id = frame.id,
-                                    request = std::string(frame.payload)] {
-      std::string reply = handler(self->peer, request);
-      if (reply.size() > kMaxFrameBytes) {
-        ++self->transport.counters.oversized_replies;
-        reply.clear();  // Not readable, so that only this request fails.
-      }
-      if (!self->failed) {
-        self->Queue({channel, FrameKind::kReply, id, reply});
-      }
-    });
+    this->transport.loop.SpawnHere(
+        [self = this->shared_from_this(), &handler, channel = frame.channel,
+         id = frame.id, request = std::string(frame.payload), arrived = Now()] {
+          std::string reply = handler(self->peer, request, arrived);
+          if (reply.size() > kMaxFrameBytes) {
+            ++self->transport.counters.oversized_replies;
+            reply.clear();  // Not readable, so that only this request fails.
+          }
+          if (!self->failed) {
+            self->Queue({channel, FrameKind::kReply, id, reply});
+          }
+        });
   }
 
   void HandleMessage(const Frame& frame) {
--- a/src/node/call_messages.cc
+++ b/src/node/call_messages.cc
@@ -97,6 +97,17 @@
   return response;
 }
 
+void CountWaitingTime(wire::CallRequest& request,
+                      std::chrono::microseconds waited) {
+  static constexpr std::int64_t kMaxTimeUs = 600'000'000;
+  const auto left = [waited](std::int64_t time_us) {
+    return std::max<std::int64_t>(
+        0, std::clamp<std::int64_t>(time_us, 0, kMaxTimeUs) - waited.count());
+  };
+  request.remaining_us = left(request.remaining_us);
+  request.target_us = left(request.target_us);
+}
+
 wire::LoadReport ToWire(const LoadReport& load) {
   wire::LoadReport report;
   report.limit = load.limit;
--- a/src/node/call_messages.h
+++ b/src/node/call_messages.h
@@ -38,6 +38,13 @@
 wire::LoadReport ToWire(const LoadReport& load);
 LoadReport FromWire(const wire::LoadReport& load);
 
+// Requests ------------------------------------------------------------------
+
+// Subtracts the time that the request has waited at this node from the times
+// that it has left, which are limited to ten minutes.
+void CountWaitingTime(wire::CallRequest& request,
+                      std::chrono::microseconds waited);
+
 // Headers -------------------------------------------------------------------
 
 // True for header fields that are forwarded end to end. Hop-by-hop fields and
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -200,8 +200,13 @@
     return static_cast<std::size_t>(channel);
   };
   handlers.on_request[index(Channel::kCall)] =
-      [this, &worker](const NodeId&, std::string_view bytes) {
-        const auto request = Decode<wire::CallRequest>(bytes);
+      [this, &worker](const NodeId&, std::string_view bytes, Instant arrived) {
+        auto request = Decode<wire::CallRequest>(bytes);
+        if (request) {
+          CountWaitingTime(
+              *request, std::chrono::duration_cast<std::chrono::microseconds>(
+                            Now() - arrived));
+        }
         const wire::CallReply reply =
             request ? this->executor.Execute(worker.worker.backend, *request)
                     : MakeReply(Outcome::kNotRun, Reason::kBadRequest,
@@ -209,14 +214,15 @@
         return Encode(reply);
       };
   const auto on_control = [this](auto handler) {
-    return [this, handler](const NodeId& from, std::string_view bytes) {
-      const auto reply =
-          RunOn(this->control, Now() + kControlTimeout,
-                [handler, from, owned_bytes = std::string(bytes)] {
-                  return handler(from, owned_bytes);
-                });
-      return reply.value_or(std::string());
-    };
+    return
+        [this, handler](const NodeId& from, std::string_view bytes, Instant) {
+          const auto reply =
+              RunOn(this->control, Now() + kControlTimeout,
+                    [handler, from, owned_bytes = std::string(bytes)] {
+                      return handler(from, owned_bytes);
+                    });
+          return reply.value_or(std::string());
+        };
   };
   const auto membership_handler =
       on_control([this](const NodeId& from, const std::string& bytes) {
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -86,15 +86,17 @@
 }
 
 std::string BackendGateway::RunForPeer(const NodeId& from,
-                                       std::string_view bytes) {
+                                       std::string_view bytes,
+                                       Instant arrived) {
   ByteReservation room(this->account);
   if (!room.GrowTo(RoomFor(bytes.size()))) {
     return Encode(NotRun(Reason::kOverloaded, "no memory for its body"));
   }
-  const auto request = Decode<wire::CallRequest>(bytes);
+  auto request = Decode<wire::CallRequest>(bytes);
   if (!request) {
     return Encode(NotRun(Reason::kBadRequest, "the call is not readable"));
   }
+  CountWaitingTime(*request, duration_cast<microseconds>(Now() - arrived));
   const Instant deadline = Now() + microseconds(std::clamp<std::int64_t>(
                                        request->remaining_us, 0, kMaxCallUs));
   const SendKey key = SendKeyOf(from, request->send_id);
@@ -107,7 +109,9 @@
     return Encode(MakeReply(Outcome::kUnknown, Reason::kDuplicate,
                             "this send arrived before"));
   }
-  const CachedReply reply = this->EncodeForPeer(this->Run(from, *request));
+  const CachedReply reply =
+      this->EncodeForPeer(request->remaining_us > 0 ? this->Run(from, *request)
+                                                    : this->RejectAsLate());
   this->ledger.OnDone(key, reply);
   const auto asked = this->reply_waiters.extract(key);
   if (!asked.empty()) {
@@ -118,6 +122,13 @@
   return *reply;
 }
 
+wire::CallReply BackendGateway::RejectAsLate() const {
+  wire::CallReply reply =
+      NotRun(Reason::kDeadline, "its deadline passed before it began");
+  reply.__set_load(ToWire(this->queue.Report()));
+  return reply;
+}
+
 // A reply that doesn't fit into a frame fails alone: sent as it is, it would
 // end the connection with all calls on it. A kept reply counts as long as it
 // lives.
--- a/src/sidecar/backend_gateway.h
+++ b/src/sidecar/backend_gateway.h
@@ -57,9 +57,12 @@
   // Runs a call that came in at node `from`, which may be this node.
   wire::CallReply Run(const NodeId& from, const wire::CallRequest& request);
 
-  // Runs an encoded call of another node. The reply is kept, so that the other
-  // node can ask for it again with AwaitSendResult.
-  std::string RunForPeer(const NodeId& from, std::string_view request);
+  // Runs an encoded call of another node, which has arrived at `arrived`. The
+  // reply is kept, so that the other node can ask for it again with
+  // AwaitSendResult.
+  std::string RunForPeer(const NodeId& from,
+                         std::string_view request,
+                         Instant arrived);
 
   // Returns the result of a send to a node that lost the reply. Waits while the
   // call is still running.
@@ -167,6 +170,7 @@
   void ReportDeathOf(LostCall lost);
   bool IsServing(const ServiceName& service, Instant now) const;
   CachedReply EncodeForPeer(wire::CallReply reply);
+  wire::CallReply RejectAsLate() const;
   SlotDecision AwaitSlot(Call& call);
   void ApplyActions(const SlotActions& actions);
 
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -329,9 +329,10 @@
     std::ranges::for_each(by_channel, [what](auto& handler) {
       if (handler) {
         handler = [what, handle = std::move(handler)](const NodeId& from,
-                                                      std::string_view bytes) {
+                                                      std::string_view bytes,
+                                                      auto... arrived) {
           NoteActivity(what, from.value);
-          return handle(from, bytes);
+          return handle(from, bytes, arrived...);
         };
       }
     });
@@ -345,38 +346,38 @@
   const auto index = [](Channel channel) {
     return static_cast<std::size_t>(channel);
   };
-  all.on_request[index(Channel::kCall)] = [this](const NodeId& from,
-                                                 std::string_view bytes) {
-    return this->gateway.RunForPeer(from, bytes);
-  };
-  all.on_request[index(Channel::kSend)] = [this](const NodeId& from,
-                                                 std::string_view bytes) {
-    return this->gateway.AwaitSendResult(from, bytes);
-  };
+  all.on_request[index(Channel::kCall)] =
+      [this](const NodeId& from, std::string_view bytes, Instant arrived) {
+        return this->gateway.RunForPeer(from, bytes, arrived);
+      };
+  all.on_request[index(Channel::kSend)] =
+      [this](const NodeId& from, std::string_view bytes, Instant) {
+        return this->gateway.AwaitSendResult(from, bytes);
+      };
   all.on_message[index(Channel::kSend)] = [this](const NodeId& from,
                                                  std::string_view bytes) {
     if (const auto cancel = Decode<wire::SendCancel>(bytes)) {
       this->gateway.Cancel(from, cancel->send_id);
     }
   };
-  all.on_request[index(Channel::kConfig)] = [this](const NodeId&,
-                                                   std::string_view bytes) {
-    return this->configs.OnPeerQuestion(bytes);
-  };
+  all.on_request[index(Channel::kConfig)] =
+      [this](const NodeId&, std::string_view bytes, Instant) {
+        return this->configs.OnPeerQuestion(bytes);
+      };
   all.on_message[index(Channel::kConfig)] = [this](const NodeId& from,
                                                    std::string_view bytes) {
     this->configs.OnPeerNotice(from, bytes);
   };
   const auto membership_answer = [this](const NodeId& from,
-                                        std::string_view bytes) {
+                                        std::string_view bytes, Instant) {
     return this->membership.OnPeerRequest(from, bytes);
   };
   all.on_request[index(Channel::kMembership)] = membership_answer;
   all.on_request[index(Channel::kReach)] = membership_answer;
-  all.on_request[index(Channel::kSuspects)] = [this](const NodeId& from,
-                                                     std::string_view bytes) {
-    return this->suspects.OnPeerRequest(from, bytes);
-  };
+  all.on_request[index(Channel::kSuspects)] =
+      [this](const NodeId& from, std::string_view bytes, Instant) {
+        return this->suspects.OnPeerRequest(from, bytes);
+      };
   NoteFrames(all);
   return all;
 }
--- a/tests/adapters/peer_transport_test.cc
+++ b/tests/adapters/peer_transport_test.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/fiber.hpp>
@@ -33,7 +34,7 @@
   void SetUp() override {
     this->client.identity = {"fleet", {"client"}, {"zone-a"}, {1}, {}};
     this->server.identity = {"fleet", {"server"}, {"zone-b"}, {1}, {}};
-    this->OnRequest([](const NodeId& from, std::string_view request) {
+    this->OnRequest([](const NodeId& from, std::string_view request, Instant) {
       return from.value + ":" + std::string(request);
     });
   }
@@ -108,7 +109,7 @@
 
 // The reply is too long for a frame; another request shares the connection.
 TEST_F(PeerTransportTest, ReplyTooLongForAFrame_OtherRequestsAreReplied) {
-  this->OnRequest([this](const NodeId&, std::string_view request) {
+  this->OnRequest([this](const NodeId&, std::string_view request, Instant) {
     this->loop.SleepFor(milliseconds(request == "long" ? 20 : 100));
     return std::string(request == "long" ? kMaxFrameBytes + 1 : 5, 'x');
   });
@@ -137,7 +138,7 @@
 TEST_F(PeerTransportTest, DrainDuringReply_ReplyIsComplete) {
   const std::string large(4'000'000, 'x');
   bool replied = false;
-  this->OnRequest([&](const NodeId&, std::string_view) {
+  this->OnRequest([&](const NodeId&, std::string_view, Instant) {
     replied = true;
     return large;
   });
@@ -158,7 +159,7 @@
 }
 
 TEST_F(PeerTransportTest, CancelRequests_WaitersFailImmediately) {
-  this->OnRequest([this](const NodeId&, std::string_view) {
+  this->OnRequest([this](const NodeId&, std::string_view, Instant) {
     this->loop.SleepFor(milliseconds(500));
     return std::string();
   });
@@ -177,12 +178,11 @@
 }
 
 // A cancellation may arrive in the same read as the call that it cancels. It
-// must be handled after the call.
-// A cancellation must not wait for the fibers of the calls before it; the
-// receiver keeps it for a call that has not begun.
+// must not wait for the fibers of the calls before it; the receiver keeps it
+// for a call that has not begun.
 TEST_F(PeerTransportTest, MessageRightBehindARequest_IsHandledBeforeItsFiber) {
   std::vector<std::string> received;
-  this->OnRequest([&](const NodeId&, std::string_view request) {
+  this->OnRequest([&](const NodeId&, std::string_view request, Instant) {
     received.emplace_back(request);
     return std::string();
   });
@@ -204,13 +204,35 @@
   EXPECT_EQ(received, (std::vector<std::string>{"greet", "cancel", "call"}));
 }
 
+// A request that waits for its fiber has arrived before.
+TEST_F(PeerTransportTest, RequestWaitsForItsFiber_HandlerLearnsWhenItArrived) {
+  constexpr milliseconds kHeldUp{50};
+  milliseconds longest_wait{0};
+  this->OnRequest([&](const NodeId&, std::string_view, Instant arrived) {
+    longest_wait =
+        std::max(longest_wait, std::chrono::duration_cast<milliseconds>(
+                                   std::chrono::steady_clock::now() - arrived));
+    std::this_thread::sleep_for(kHeldUp);  // Holds up the loop.
+    return std::string();
+  });
+  this->Run([&](const NodeId& to) {
+    ASSERT_TRUE(this->SendRequest(to, "greet", milliseconds(2000)).has_value());
+    for (int call = 0; call < 3; ++call) {
+      this->loop.SpawnHere(
+          [&] { this->SendRequest(to, "call", milliseconds(2000)); });
+    }
+    this->loop.SleepFor(4 * kHeldUp);
+  });
+  EXPECT_GE(longest_wait, kHeldUp);
+}
+
 // The fibers of many calls are ready before the cancellation arrives.
 TEST_F(PeerTransportTest, MessageDuringManyCalls_IsHandledBeforeTheyAllRan) {
   constexpr int kCalls = 100;
   int begun = 0;
   int begun_at_message = 0;
   NodeId node;
-  this->OnRequest([&](const NodeId&, std::string_view) {
+  this->OnRequest([&](const NodeId&, std::string_view, Instant) {
     if (++begun == 5) {
       this->client.transport->Send(node, Channel::kCall, "cancel");
     }
@@ -233,7 +255,7 @@
 }
 
 TEST_F(PeerTransportTest, NoReplyBeforeTimeout_RequestIsLost) {
-  this->OnRequest([this](const NodeId&, std::string_view) {
+  this->OnRequest([this](const NodeId&, std::string_view, Instant) {
     this->loop.SleepFor(milliseconds(200));
     return std::string();
   });
@@ -246,7 +268,7 @@
 
 TEST_F(PeerTransportTest, TimeoutBeforeDelayedFrameIsSent_FrameIsNeverSent) {
   int arrived = 0;
-  this->OnRequest([&](const NodeId&, std::string_view) {
+  this->OnRequest([&](const NodeId&, std::string_view, Instant) {
     ++arrived;
     return std::string();
   });
@@ -292,7 +314,7 @@
 // byte.
 TEST_F(PeerTransportTest, ConnectionEndsInsideFrame_RequestIsNotRun) {
   int handled = 0;
-  this->OnRequest([&handled](const NodeId&, std::string_view request) {
+  this->OnRequest([&handled](const NodeId&, std::string_view request, Instant) {
     ++handled;
     return std::string(request);
   });
--- a/tests/execution/once_host_test.cc
+++ b/tests/execution/once_host_test.cc
@@ -14,6 +14,7 @@
 #include <thread>
 #include <vector>
 
+#include "src/adapters/clock.h"
 #include "src/node/suspect_host.h"
 
 namespace tanagerledge {
@@ -83,7 +84,7 @@
         Channel,
         std::string request,
         std::chrono::microseconds) override {
-      return this->peers.on_request.at(to)(this->self, request);
+      return this->peers.on_request.at(to)(this->self, request, Now());
     }
 
    private:
@@ -127,7 +128,8 @@
             once_host.OnPeerMessage(from, message);
           };
       this->peers.on_request[member.node] =
-          [&suspect_host](const NodeId& from, std::string_view request) {
+          [&suspect_host](const NodeId& from, std::string_view request,
+                          Instant) {
             return suspect_host.OnPeerRequest(from, request);
           };
     }
--- a/tests/sidecar/backend_gateway_test.cc
+++ b/tests/sidecar/backend_gateway_test.cc
@@ -158,13 +158,49 @@
         request.send_id = 7;
         this->gateway.Cancel({"peer"}, request.send_id);
         const auto reply = Decode<wire::CallReply>(
-            this->gateway.RunForPeer({"peer"}, Encode(request)));
+            this->gateway.RunForPeer({"peer"}, Encode(request), Now()));
         ASSERT_TRUE(reply.has_value());
         ExpectNotRun(*reply);
       });
   EXPECT_EQ(sent, 0);
 }
 
+// Guards against a deadline that is extended by the time that the call waits
+// for its fiber, on a loop that is behind.
+TEST_F(BackendGatewayTest, WaitedForItsFiber_DeadlineIsCountedFromItsArrival) {
+  std::vector<std::string> deadlines;
+  this->RunWithBackend(
+      [&deadlines](const HttpRequest& asked, int) {
+        deadlines.emplace_back(asked.Header("X-Deadline-Ms"));
+        return std::vector<Part>{
+            {Success(std::string(asked.Header("X-Attempt-Id")))}};
+      },
+      [this] {
+        wire::CallRequest request;
+        request.service_name = "claims";
+        request.method = "POST";
+        request.target = "/x/1";
+        request.route = "claims";
+        request.attempt_id = "a";
+        request.remaining_us = microseconds(kCallTimeout).count();
+        request.target_us = request.remaining_us;
+        const auto run = [&](milliseconds waited) {
+          ++request.send_id;
+          return Decode<wire::CallReply>(this->gateway.RunForPeer(
+              {"peer"}, Encode(request), Now() - waited));
+        };
+        const auto late = run(kCallTimeout);
+        ASSERT_TRUE(late.has_value());
+        ExpectNotRun(*late);
+        EXPECT_TRUE(late->__isset.load);
+        const auto in_time = run(kCallTimeout / 2);
+        ASSERT_TRUE(in_time.has_value());
+        ExpectRan(*in_time, "a");
+      });
+  ASSERT_EQ(deadlines.size(), 1u);
+  EXPECT_LE(std::stoi(deadlines.front()), (kCallTimeout / 2).count());
+}
+
 // A health check for the previous instance is answered with the name of the new
 // one. After that instance has left, the backend server repeats this answer
 // before the correct one. The repeated answer must not bring the instance back.
