--- a/soak/backend.cc
+++ b/soak/backend.cc
@@ -55,6 +55,7 @@
       identity(std::move(own_identity)),
       admin_address(std::move(node_admin_address)),
       random(seed),
+      odd_random(seed),
       nested_caller(io_loop, run_ledger, this->identity, true),
       server(io_loop, HttpServer::Handler([this](const HttpRequest& request) {
                return this->Answer(request);
@@ -65,6 +66,9 @@
   this->loop.Spawn([this] {
     while (!this->closed) {
       this->SendHeartbeat();
+      if (this->busy) {
+        this->SendOddHeartbeat();
+      }
       this->loop.SleepFor(kHeartbeatInterval);
     }
   });
@@ -230,10 +234,50 @@
       .dump();
 }
 
+// Another writer sends a heartbeat, about one in two seconds. None of them may
+// displace this backend server or keep its leave from being obeyed.
+void Backend::SendOddHeartbeat() {
+  constexpr double kOddShare = 0.15;
+  constexpr int kOddKinds = 6;
+  constexpr std::int64_t kLaterStartMs = 10'000;
+  if (!std::bernoulli_distribution(kOddShare)(this->odd_random)) {
+    return;
+  }
+  nlohmann::json odd = nlohmann::json::parse(this->HeartbeatBody("ready"));
+  std::string named_instance = this->instance;
+  switch (std::uniform_int_distribution<int>(1, kOddKinds)(this->odd_random)) {
+    case 1:
+      odd["sequence"] = std::int64_t{1} << 53;
+      break;
+    case 2:
+      odd["slots"] = 0;
+      break;
+    case 3:
+      odd["born"] = this->born_ms + kLaterStartMs;
+      odd["address"] = "127.0.0.1:1";
+      break;
+    case 4:
+      odd["service"] = "nobody";
+      break;
+    case 5:
+      odd.erase("born");
+      break;
+    default:
+      named_instance = "other";
+  }
+  this->SendToNode("PUT", named_instance, odd.dump());
+}
+
 bool Backend::SendToNode(const char* method, const std::string& body) {
+  return this->SendToNode(method, this->instance, body);
+}
+
+bool Backend::SendToNode(const char* method,
+                         const std::string& named_instance,
+                         const std::string& body) {
   HttpRequest request;
   request.method = method;
-  request.target = "/instances/" + this->instance;
+  request.target = "/instances/" + named_instance;
   request.body = body;
   HttpClient client(this->loop, ParseAddress(this->admin_address).value());
   const auto answer = client.Send(request, kHeartbeatTimeout);
--- a/soak/backend.h
+++ b/soak/backend.h
@@ -34,7 +34,8 @@
   // While flaky, the server refuses some requests and loses some answers.
   void SetFlaky(bool value) { this->flaky = value; }
   // While busy, some requests take long, some make nested calls through the
-  // node, and the announced number of slots is lower.
+  // node, and the announced number of slots is lower. Another writer sends odd
+  // heartbeats to the node.
   void SetBusy(bool value) { this->busy = value; }
 
   // How a backend server leaves: it announces the leave, goes on running for
@@ -58,8 +59,12 @@
   int RunRequest(const HttpRequest& request);
   void CheckRequestAfterLeave(const std::string& id);
   void SendHeartbeat();
+  void SendOddHeartbeat();
   std::string HeartbeatBody(const char* state);
   bool SendToNode(const char* method, const std::string& body);
+  bool SendToNode(const char* method,
+                  const std::string& named_instance,
+                  const std::string& body);
   void AnnounceLeave();
   bool DrawBool(double probability);
   int DrawInt(int min_value, int max_value);
@@ -69,6 +74,7 @@
   const CallerIdentity identity;
   const std::string admin_address;
   std::mt19937_64 random;
+  std::mt19937_64 odd_random;  // For the messages of another writer.
   Caller nested_caller;
   HttpServer server;
   std::unique_ptr<Proxy> proxy;
