--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -162,9 +162,7 @@
     std::chrono::milliseconds timeout,
     const ExchangeOptions& exchange) {
   const Instant deadline = Now() + timeout;
-  auto connection = exchange.force_new_connection
-                        ? this->Connect(deadline)
-                        : this->AcquireConnection(deadline, exchange.id);
+  auto connection = this->AcquireConnection(deadline, exchange.id);
   if (!connection) {
     return tl::unexpected(connection.error());
   }
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -69,8 +69,6 @@
   std::optional<std::string_view> body;
   // Reserves the room for the response's body; null: no limit but the client's.
   ByteReservation* response_room = nullptr;
-  // Uses a new connection: for requests whose responses carry no id.
-  bool force_new_connection = false;
   // False for a response after which the connection must not be reused, so that
   // a duplicate of it can't be taken for the response to another request.
   std::function<bool(const HttpResponse&)> allows_reuse;
--- a/src/node/backend_link.cc
+++ b/src/node/backend_link.cc
@@ -1,5 +1,6 @@
 #include "src/node/backend_link.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 
 #include "src/adapters/net.h"
@@ -21,12 +22,26 @@
 // The backend server runs on the same machine, so connecting takes about 1 ms.
 constexpr std::chrono::milliseconds kConnectTimeout{500};
 
+tl::expected<HttpResponse, HttpError> BadAddress() {
+  return tl::unexpected(HttpError{false, false, "the address is not ip:port"});
+}
+
 }  // namespace
 
-std::shared_ptr<HttpClient> BackendLink::ClientFor(const BackendId& backend) {
+BackendLink::Client BackendLink::ClientFor(const BackendId& backend) {
   if (this->client && this->connected_to == backend) {
     return this->client;
   }
+  Client next = this->OpenClient(backend);
+  if (next) {
+    this->client = next;
+    this->connected_to = backend;
+  }
+  return next;
+}
+
+// Null if the address is not ip:port.
+BackendLink::Client BackendLink::OpenClient(const BackendId& backend) {
   const auto address = ParseAddress(backend.value);
   if (!address) {
     return nullptr;
@@ -37,9 +52,10 @@
   options.max_stated_body_bytes = kMaxAnswerBytes;
   options.max_idle_time = kMaxIdleTime;
   options.connect_timeout = kConnectTimeout;
-  this->client = std::make_shared<HttpClient>(this->loop, *address, options);
-  this->connected_to = backend;
-  return this->client;
+  auto next = std::make_shared<HttpClient>(this->loop, *address, options);
+  std::erase_if(this->opened, [](const auto& each) { return each.expired(); });
+  this->opened.push_back(next);
+  return next;
 }
 
 tl::expected<HttpResponse, HttpError> BackendLink::Send(
@@ -47,12 +63,16 @@
     const HttpRequest& request,
     std::chrono::milliseconds timeout,
     const ExchangeOptions& exchange) {
-  const std::shared_ptr<HttpClient> held = this->ClientFor(backend);
-  if (!held) {
-    return tl::unexpected(
-        HttpError{false, false, "the address is not ip:port"});
-  }
-  return held->Send(request, timeout, exchange);
+  const Client held = this->ClientFor(backend);
+  return held ? held->Send(request, timeout, exchange) : BadAddress();
+}
+
+tl::expected<HttpResponse, HttpError> BackendLink::SendOnce(
+    const BackendId& backend,
+    const HttpRequest& request,
+    std::chrono::milliseconds timeout) {
+  const Client own = this->OpenClient(backend);
+  return own ? own->Send(request, timeout) : BadAddress();
 }
 
 bool BackendLink::IsListening(const BackendId& backend) {
@@ -73,9 +93,11 @@
 }
 
 void BackendLink::Close() {
-  if (this->client) {
-    this->client->Close();
-  }
+  std::ranges::for_each(this->opened, [](const auto& each) {
+    if (const Client open = each.lock()) {
+      open->Close();
+    }
+  });
 }
 
 }  // namespace tanagerledge
--- a/src/node/backend_link.h
+++ b/src/node/backend_link.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <memory>
 #include <tl/expected.hpp>
+#include <vector>
 
 #include "src/adapters/fiber_io.h"
 #include "src/adapters/http_client.h"
@@ -26,6 +27,13 @@
       std::chrono::milliseconds timeout,
       const ExchangeOptions& exchange = {});
 
+  // The same on a connection of its own, which is closed afterwards. Leaves the
+  // kept connections alone: for requests to an address that is not proven yet.
+  tl::expected<HttpResponse, HttpError> SendOnce(
+      const BackendId& backend,
+      const HttpRequest& request,
+      std::chrono::milliseconds timeout);
+
   // Tries to connect to the backend server's address. Returns false only when
   // the connection is refused, which proves that nothing listens there. A
   // timeout proves nothing and returns true.
@@ -35,11 +43,16 @@
   void Close();
 
  private:
-  std::shared_ptr<HttpClient> ClientFor(const BackendId& backend);
+  using Client = std::shared_ptr<HttpClient>;
+
+  Client ClientFor(const BackendId& backend);
+  Client OpenClient(const BackendId& backend);
 
   IoLoop& loop;
   BackendId connected_to;
-  std::shared_ptr<HttpClient> client;
+  Client client;
+  // All clients that may have requests in flight.
+  std::vector<std::weak_ptr<HttpClient>> opened;
 };
 
 }  // namespace tanagerledge
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -630,10 +630,8 @@
   HttpRequest request;
   request.target = health_path;
   const Instant asked = Now();
-  ExchangeOptions exchange;
-  exchange.force_new_connection = true;
-  const auto answer = this->link.Send({reported.address}, request,
-                                      kHealthCheckTimeout, exchange);
+  const auto answer =
+      this->link.SendOnce({reported.address}, request, kHealthCheckTimeout);
   const Instant now = Now();
   const auto instance =
       answer ? this->platform.HealthyInstance(*answer) : std::nullopt;
--- a/tests/sidecar/backend_gateway_test.cc
+++ b/tests/sidecar/backend_gateway_test.cc
@@ -201,6 +201,26 @@
   EXPECT_LE(std::stoi(deadlines.front()), (kCallTimeout / 2).count());
 }
 
+// Guards against kept connections that a single message costs, by the health
+// check at the address that it names.
+TEST_F(BackendGatewayTest, HealthCheckAtOtherAddress_ConnectionsAreKept) {
+  int connections = 0;
+  this->RunWithBackend(
+      [&connections](const HttpRequest& asked, int nth) {
+        connections += nth == 0 ? 1 : 0;
+        return std::vector<Part>{
+            {Success(std::string(asked.Header("X-Attempt-Id")))}};
+      },
+      [this] {
+        ExpectRan(this->Call("a"), "a");
+        Heartbeat odd = this->MakeHeartbeat("i-odd");
+        odd.address = "127.0.0.1:1";
+        this->gateway.RunHealthCheck(odd, "/health");
+        ExpectRan(this->Call("b"), "b");
+      });
+  EXPECT_EQ(connections, 1);
+}
+
 // A health check for the previous instance is answered with the name of the new
 // one. After that instance has left, the backend server repeats this answer
 // before the correct one. The repeated answer must not bring the instance back.
