--- a/include/tanagerledge/backend_life.h
+++ b/include/tanagerledge/backend_life.h
@@ -165,7 +165,7 @@
   bool dead = false;
   std::optional<Heartbeat> candidate;
   OrderedRun candidate_heartbeats;
-  Instant candidate_heard{};
+  Instant candidate_heard{};  // Time of its last heartbeat.
   // Starts that have left. Their heartbeats are stale.
   std::deque<Start> retired;
   // A leave of an instance that was unknown then. It has no birth time, so it
--- a/src/adapters/crash_log.h
+++ b/src/adapters/crash_log.h
@@ -16,7 +16,7 @@
 void StartCrashLog(std::string_view node);
 
 // Remembers what the calling thread begins to do, and for what: the id of a
-// call or an instance. Costs some ns. Both texts are cut to 60 bytes.
+// call or an instance. Both texts are cut to 60 bytes.
 void NoteActivity(std::string_view what, std::string_view subject);
 
 }  // namespace tanagerledge
