A listening address is exclusive unless workers share it

A call was answered with 200 within 14 ms of the node's start, before the node had a configuration.

Cause: Listen() set SO_REUSEPORT on each socket, and the tests drew their ports by opening and closing a socket. The same port could be drawn twice, for the front and the metrics of one node, or by two processes; the system then divided the connections between both listeners without an error.

Change: only the workers of the note-driven node share their addresses, after a check that nothing else listens there. Tests, TestBackend and the soak use ReserveAddress(): no port is given twice on one machine. The soak's own ports by seed, which two soaks could share, are gone.

--- a/fakes/small_mesh.cc
+++ b/fakes/small_mesh.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "fakes/reserved_address.h"
 #include "platform/store_client.h"
 #include "src/adapters/codec.h"
 #include "src/adapters/http_client.h"
@@ -19,15 +20,6 @@
 constexpr std::chrono::seconds kServedTimeout{15};
 constexpr std::string_view kAnyPort = "127.0.0.1:0";
 
-// Returns an address with a port that is free, but could be taken by another
-// process before it is used.
-std::string FreeAddress() {
-  boost::asio::io_context io;
-  const auto any = ParseAddress(kAnyPort).value();
-  return FormatAddress(
-      boost::asio::ip::tcp::acceptor(io, any).local_endpoint());
-}
-
 }  // namespace
 
 SmallMesh::SmallMesh() : log_store(this->fakes_loop) {
@@ -80,9 +72,9 @@
   settings.fleet = "small";
   settings.zone = {"zone"};
   settings.workers = 1;
-  settings.address = {FreeAddress()};
-  settings.front_address = FreeAddress();
-  settings.admin_address = FreeAddress();
+  settings.address = {ReserveAddress()};
+  settings.front_address = ReserveAddress();
+  settings.admin_address = ReserveAddress();
   settings.log_address = this->log_address;
   if (this->seed_node.value.empty()) {
     this->seed_node = settings.address;
--- a/fakes/test_backend.h
+++ b/fakes/test_backend.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "fakes/reserved_address.h"
 #include "src/adapters/fiber_io.h"
 #include "src/adapters/http_message.h"
 #include "src/adapters/http_server.h"
@@ -30,8 +31,7 @@
         server(io_loop, [this](const HttpRequest& request) {
           return this->Answer(request);
         }) {
-    const auto bound = this->server.Accept(ParseAddress("127.0.0.1:0").value());
-    this->address = FormatAddress(*bound);
+    this->server.Accept(CheckedAddress(this->address)).value();
   }
 
   std::optional<HttpResponse> Answer(const HttpRequest& request) {
@@ -90,7 +90,7 @@
   }
 
   const std::string instance;
-  std::string address;
+  const std::string address = ReserveAddress();
   std::atomic<bool> lose_answers{false};
   std::atomic<bool> leaving{false};  // Health checks are answered with 503.
   std::atomic<std::chrono::milliseconds> work{std::chrono::milliseconds(0)};
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -12,6 +12,7 @@
 
 #include "fakes/log_store.h"
 #include "fakes/node_process.h"
+#include "fakes/reserved_address.h"
 #include "platform/store_client.h"
 #include "soak/backend.h"
 #include "soak/caller.h"
@@ -119,20 +120,6 @@
     return this->Report();
   }
 
-  // Returns an address with an unused port. The ports are below the range that
-  // the system uses for outgoing connections, because such a connection could
-  // take a node's port while the node is down. Soaks that run at the same time
-  // use different ports, unless their seeds differ by a multiple of 50.
-  std::string NextAddress() {
-    constexpr int kFirstPort = 10'000;
-    constexpr int kPortsPerSeed = 400;
-    constexpr int kPortRanges = 50;
-    const int first =
-        kFirstPort +
-        static_cast<int>(this->options.seed % kPortRanges) * kPortsPerSeed;
-    return "127.0.0.1:" + std::to_string(first + this->ports_used++);
-  }
-
   // Setup ---------------------------------------------------------------------
 
   // Writes the next version of the configuration to the store.
@@ -178,9 +165,9 @@
   void AddSite(int number) {
     auto site = std::make_unique<Site>("node-" + std::to_string(number));
     site->service = number % 2 == 0 ? "archive" : "claims";
-    site->front = this->NextAddress();
+    site->front = ReserveAddress();
     site->to_store = std::make_unique<Proxy>(this->loop, this->store_address);
-    const std::string admin = this->NextAddress();
+    const std::string admin = ReserveAddress();
     site->backend =
         std::make_unique<Backend>(this->loop, this->ledger, IdentityOf(*site),
                                   admin, this->other_random());
@@ -188,10 +175,10 @@
         this->options.directory + "/node-" + std::to_string(number) + ".ini";
     std::ofstream(path) << "[node]\nsource = platform\nfleet = soak-"
                         << this->options.seed
-                        << "\naddress = " << this->NextAddress() << "\nzone = z"
+                        << "\naddress = " << ReserveAddress() << "\nzone = z"
                         << number % 3 << "\n[front]\naddress = " << site->front
                         << "\n[admin]\naddress = " << admin
-                        << "\n[readiness]\naddress = " << this->NextAddress()
+                        << "\n[readiness]\naddress = " << ReserveAddress()
                         << "\n[back_end]\nservice = " << site->service
                         << "\n[log]\naddress = " << site->to_store->address()
                         << "\n[membership]\nheartbeat_period = 300ms\n"
@@ -641,7 +628,6 @@
   std::vector<std::unique_ptr<Site>> sites;
   std::vector<std::string> violations;
   int config_version = 0;
-  int ports_used = 0;
   std::uint64_t last_id = 0;
   int active_faults = 0;
   int active_calls = 0;  // Without the nested calls of backend servers.
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -189,8 +189,9 @@
 HttpServer::~HttpServer() = default;
 
 tl::expected<tcp::endpoint, AddressError> HttpServer::Accept(
-    const tcp::endpoint& endpoint) {
-  auto listening = Listen(this->loop.context(), endpoint);
+    const tcp::endpoint& endpoint,
+    PortSharing sharing) {
+  auto listening = Listen(this->loop.context(), endpoint, sharing);
   if (!listening) {
     return tl::unexpected(listening.error());
   }
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -114,10 +114,10 @@
              HttpLimits limits = {});
   ~HttpServer();
 
-  // Starts accepting connections on the address, which several loops may share
-  // (SO_REUSEPORT). Returns the bound address.
+  // Starts accepting connections on the address. Returns the bound address.
   tl::expected<boost::asio::ip::tcp::endpoint, AddressError> Accept(
-      const boost::asio::ip::tcp::endpoint& endpoint);
+      const boost::asio::ip::tcp::endpoint& endpoint,
+      PortSharing sharing = PortSharing::kExclusive);
 
   // Sets the limits for requests that are read from now on.
   void SetLimits(HttpLimits next) { this->limits = next; }
--- a/src/adapters/net.cc
+++ b/src/adapters/net.cc
@@ -55,9 +55,9 @@
                                     : host + ":" + port;
 }
 
-tl::expected<tcp::acceptor, AddressError> Listen(
-    boost::asio::io_context& io,
-    const tcp::endpoint& endpoint) {
+tl::expected<tcp::acceptor, AddressError> Listen(boost::asio::io_context& io,
+                                                 const tcp::endpoint& endpoint,
+                                                 PortSharing sharing) {
   const std::string address = FormatAddress(endpoint);
   boost::system::error_code error;
   tcp::acceptor acceptor(io);
@@ -66,7 +66,7 @@
     return Fail(address, error.message());
   }
   acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  acceptor.set_option(ReusePort(true), error);
+  acceptor.set_option(ReusePort(sharing == PortSharing::kShared), error);
   if (error) {
     return Fail(address, error.message());
   }
@@ -81,4 +81,9 @@
   return acceptor;
 }
 
+tl::expected<void, AddressError> CheckUnused(const tcp::endpoint& endpoint) {
+  boost::asio::io_context io;
+  return Listen(io, endpoint).map([](const tcp::acceptor&) {});
+}
+
 }  // namespace tanagerledge
--- a/src/adapters/net.h
+++ b/src/adapters/net.h
@@ -35,10 +35,20 @@
 using TcpOption =
     boost::asio::detail::socket_option::integer<IPPROTO_TCP, name>;
 
-// Opens, binds and listens with SO_REUSEPORT, so that each worker thread can
-// have its own acceptor on the same address. The error is the system's message.
+// Whether several acceptors may listen on one address (SO_REUSEPORT). The
+// system then divides the connections among them, whatever process they are in.
+enum class PortSharing { kExclusive, kShared };
+
+// Opens, binds and listens. The error is the system's message; an exclusive
+// address that is in use is an error.
 tl::expected<boost::asio::ip::tcp::acceptor, AddressError> Listen(
     boost::asio::io_context& io,
+    const boost::asio::ip::tcp::endpoint& endpoint,
+    PortSharing sharing = PortSharing::kExclusive);
+
+// Fails if something listens on the address. To be called before the first of
+// several acceptors that share it.
+tl::expected<void, AddressError> CheckUnused(
     const boost::asio::ip::tcp::endpoint& endpoint);
 
 }  // namespace tanagerledge
--- a/src/adapters/peer_transport.cc
+++ b/src/adapters/peer_transport.cc
@@ -576,8 +576,9 @@
 PeerTransport::~PeerTransport() = default;
 
 tl::expected<tcp::endpoint, AddressError> PeerTransport::Accept(
-    const tcp::endpoint& endpoint) {
-  auto listening = Listen(this->loop.context(), endpoint);
+    const tcp::endpoint& endpoint,
+    PortSharing sharing) {
+  auto listening = Listen(this->loop.context(), endpoint, sharing);
   if (!listening) {
     return tl::unexpected(listening.error());
   }
--- a/src/adapters/peer_transport.h
+++ b/src/adapters/peer_transport.h
@@ -87,10 +87,10 @@
                 PeerCounters& counters);
   ~PeerTransport() override;
 
-  // Starts accepting peers on the address, which several loops may share
-  // (SO_REUSEPORT). Returns the bound address.
+  // Starts accepting peers on the address. Returns the bound address.
   tl::expected<boost::asio::ip::tcp::endpoint, AddressError> Accept(
-      const boost::asio::ip::tcp::endpoint& endpoint);
+      const boost::asio::ip::tcp::endpoint& endpoint,
+      PortSharing sharing = PortSharing::kExclusive);
 
   // Starts the fiber that pings silent peers and closes dead connections, until
   // Close.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -173,17 +173,25 @@
 }
 
 tl::expected<void, std::string> Node::StartWorkers() {
+  const auto peer_endpoint = CheckedAddress(this->settings.address.value);
+  const auto front_endpoint = CheckedAddress(this->settings.front_address);
+  if (const auto unused = CheckUnused(peer_endpoint); !unused) {
+    return tl::unexpected("node address " + unused.error().text);
+  }
+  if (const auto unused = CheckUnused(front_endpoint); !unused) {
+    return tl::unexpected("front address " + unused.error().text);
+  }
   for (int i = 0; i < this->settings.workers; ++i) {
     const std::uint64_t seed =
         this->identity.incarnation.value + static_cast<std::uint64_t>(i);
     auto worker = std::make_unique<WorkerThread>(*this, seed);
     const auto peer_bound =
-        worker->peers.Accept(CheckedAddress(this->settings.address.value));
+        worker->peers.Accept(peer_endpoint, PortSharing::kShared);
     if (!peer_bound) {
       return tl::unexpected("node address " + peer_bound.error().text);
     }
     const auto front_bound =
-        worker->front.Accept(CheckedAddress(this->settings.front_address));
+        worker->front.Accept(front_endpoint, PortSharing::kShared);
     if (!front_bound) {
       return tl::unexpected("front address " + front_bound.error().text);
     }
--- a/tests/membership/membership_host_test.cc
+++ b/tests/membership/membership_host_test.cc
@@ -5,11 +5,12 @@
 
 #include <gtest/gtest.h>
 
-#include <boost/asio/ip/udp.hpp>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "fakes/reserved_address.h"
+
 namespace tanagerledge {
 namespace {
 
@@ -42,7 +43,7 @@
   void SetUp() override {
     std::vector<NodeId> ids;
     for (std::size_t i = 0; i < kNodes; ++i) {
-      ids.push_back(this->FreeAddress());
+      ids.push_back({ReserveAddress()});
     }
     for (std::size_t i = 0; i < kNodes; ++i) {
       MembershipConfig config;
@@ -67,17 +68,6 @@
     }
   }
 
-  // An ephemeral port assigned by the system stays free for a moment after it
-  // is closed.
-  NodeId FreeAddress() {
-    using boost::asio::ip::udp;
-    udp::socket socket(
-        this->loop.context(),
-        udp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    this->reserved.push_back(socket.local_endpoint().port());
-    return {"127.0.0.1:" + std::to_string(this->reserved.back())};
-  }
-
   // Runs until `done` returns true, checked at each change, for at most a
   // minute.
   void RunUntil(std::function<bool()> done) {
@@ -110,7 +100,6 @@
 
   IoLoop loop;
   DirectPeers peers;
-  std::vector<std::uint16_t> reserved;
   std::vector<std::unique_ptr<UdpPort>> ports;
   std::vector<std::unique_ptr<MembershipHost>> hosts;
   std::vector<std::vector<Member>> seen;
--- a/tests/process/node_process_test.cc
+++ b/tests/process/node_process_test.cc
@@ -8,6 +8,7 @@
 #include <thread>
 #include <utility>
 
+#include "fakes/reserved_address.h"
 #include "platform/platform.h"
 #include "platform/store_client.h"
 #include "src/adapters/clock.h"
@@ -25,13 +26,6 @@
 constexpr milliseconds kAnswerTimeout{3000};
 constexpr milliseconds kStoreTimeout{2000};
 
-std::string FreeAddress() {
-  boost::asio::io_context io;
-  return FormatAddress(
-      boost::asio::ip::tcp::acceptor(io, ParseAddress("127.0.0.1:0").value())
-          .local_endpoint());
-}
-
 // Another build of the program may be tested, for example one with a fault.
 std::string NodeProgram() {
   const char* other = std::getenv("NODE_PROGRAM");
@@ -119,15 +113,15 @@
 }
 
 void NodeProcessTest::WriteSettings() {
-  this->node_address = FreeAddress();
-  this->front = FreeAddress();
-  this->admin = FreeAddress();
+  this->node_address = ReserveAddress();
+  this->front = ReserveAddress();
+  this->admin = ReserveAddress();
   this->settings_path = this->folder + "/node.ini";
   std::ofstream(this->settings_path)
       << "[node]\nsource = platform\nfleet = test\naddress = "
       << this->node_address << "\nzone = a\n[front]\naddress = " << this->front
       << "\n[admin]\naddress = " << this->admin
-      << "\n[readiness]\naddress = " << FreeAddress()
+      << "\n[readiness]\naddress = " << ReserveAddress()
       << "\n[back_end]\nservice = archive\n[log]\naddress = "
       << this->store_address
       << "\n[membership]\nheartbeat_period = " << kHeartbeatPeriod.count()
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -29,6 +29,7 @@
 #include <vector>
 
 #include "fakes/log_store.h"
+#include "fakes/reserved_address.h"
 #include "fakes/scripted_backend.h"
 #include "fakes/test_backend.h"
 #include "platform/platform.h"
@@ -47,13 +48,6 @@
 
 constexpr auto kTimeout = seconds(12);
 
-std::string FreeAddress() {
-  boost::asio::io_context io;
-  return FormatAddress(
-      boost::asio::ip::tcp::acceptor(io, ParseAddress("127.0.0.1:0").value())
-          .local_endpoint());
-}
-
 // A faulty backend server that answers with given bytes and then closes or
 // resets the connection.
 class RawBackend {
@@ -282,13 +276,13 @@
     auto node = std::make_unique<Settings>();
     node->source = ConfigSource::kPlatform;
     node->fleet = "test";
-    node->address = {FreeAddress()};
+    node->address = {ReserveAddress()};
     node->zone = {"a"};
     node->seeds = std::move(seeds);
-    node->front_address = FreeAddress();
-    node->admin_address = FreeAddress();
-    node->readiness_address = FreeAddress();
-    node->metrics_address = FreeAddress();
+    node->front_address = ReserveAddress();
+    node->admin_address = ReserveAddress();
+    node->readiness_address = ReserveAddress();
+    node->metrics_address = ReserveAddress();
     node->log_address = this->store_address;
     node->service = {service};
     node->bounds.grace = this->grace;
@@ -556,6 +550,27 @@
   EXPECT_EQ(this->Call(node, "archive.example").status, 503);
 }
 
+// Guards against two nodes that share an address by mistake and get a part of
+// each other's connections.
+TEST_F(SidecarTest, AddressesOfAnotherNode_StartFails) {
+  const Settings& first = this->Start("archive");
+  for (auto address : {&Settings::front_address, &Settings::admin_address,
+                       &Settings::readiness_address}) {
+    Settings second = first;
+    second.address = {ReserveAddress()};
+    second.front_address = ReserveAddress();
+    second.admin_address = ReserveAddress();
+    second.readiness_address = ReserveAddress();
+    second.metrics_address = ReserveAddress();
+    second.*address = first.*address;
+    Sidecar node(second, this->platform, platform::ConnectStore);
+    const auto started = node.Start();
+    ASSERT_FALSE(started.has_value());
+    EXPECT_NE(started.error().find(first.*address), std::string::npos)
+        << started.error();
+  }
+}
+
 TEST_F(SidecarTest, TwoNodes_CallRunsAtTheNodeWithTheBackend) {
   const Settings& archive = this->Start("archive");
   const Settings& claims = this->Start("claims");
