A live server's own health answer confirms no message with another service

What callers saw: one heartbeat with the live server's name and address, but with another service that the configuration names, took the server away: its node served the other service until three heartbeats of the true one.

Cause: the message became a candidate, and the health check that should prove it was answered by the live server itself. An answer tells a name and an address, neither a service nor a start.

Change: a health check that the current server would answer itself confirms nothing. Three heartbeats in order still do.

--- a/include/tanagerledge/backend_life.h
+++ b/include/tanagerledge/backend_life.h
@@ -140,6 +140,7 @@
   bool IsOlderStart(const Heartbeat& heartbeat) const;
   bool IsCurrent(const Heartbeat& heartbeat) const;
   bool IsAtCurrentPlace(const Heartbeat& heartbeat) const;
+  bool IsAnsweredByCurrent(const Heartbeat& heartbeat, Instant now) const;
   bool IsCandidate(const Heartbeat& heartbeat) const;
   bool NeedsConfirmation(const Heartbeat& heartbeat, Instant now) const;
   HeartbeatVerdict OnCurrentHeartbeat(const Heartbeat& heartbeat, Instant now);
--- a/src/membership/backend_life.cc
+++ b/src/membership/backend_life.cc
@@ -173,6 +173,7 @@
   const bool known =
       this->IsCurrent(heartbeat) && this->IsAtCurrentPlace(heartbeat);
   if (this->IsRetired(StartOf(heartbeat)) || known || heard_from_current ||
+      this->IsAnsweredByCurrent(heartbeat, now) ||
       (last_leave && *last_leave >= asked_at)) {
     return false;
   }
@@ -294,6 +295,15 @@
          this->current->service == heartbeat.service;
 }
 
+// Whether the current backend server would answer a health check of this one:
+// an answer tells the name and the address, but not the service or the start.
+bool BackendLife::IsAnsweredByCurrent(const Heartbeat& heartbeat,
+                                      Instant now) const {
+  return this->State(now) == EndpointState::kReady &&
+         this->current->instance == heartbeat.instance &&
+         this->current->address == heartbeat.address;
+}
+
 bool BackendLife::IsCandidate(const Heartbeat& heartbeat) const {
   return this->candidate && StartOf(*this->candidate) == StartOf(heartbeat);
 }
--- a/tests/membership/backend_life_test.cc
+++ b/tests/membership/backend_life_test.cc
@@ -239,6 +239,21 @@
   }
 }
 
+// Guards against a live server that one message with another service displaces,
+// since its own answer to the health check seems to confirm the message.
+TEST_F(BackendLifeTest, OtherServiceAtSameAddressAnswersCheck_LiveOneStays) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  for (const std::int64_t born_ms : {4, 5, 9}) {
+    Heartbeat odd = this->MakeHeartbeat("i1", born_ms, 4);
+    odd.service = {"certifier"};
+    this->life.OnHeartbeat(odd, this->now);
+    const Instant asked = this->now;
+    this->now += milliseconds(2);
+    EXPECT_FALSE(this->life.OnConfirmed(odd, asked, this->now));
+    EXPECT_TRUE(this->MayRun());
+  }
+}
+
 TEST_F(BackendLifeTest, RestartAtOtherAddressAnswersHealthCheck_TakesOver) {
   this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
   this->now += milliseconds(500);
