A draining message of a newer start does not silence a live server

What callers saw: one heartbeat with a live server's name, `draining` and a later birth time made it count as draining; after 1 s no call reached it, until its third heartbeat.

Cause: OnOtherDraining let a newer start of the name take the place of a live one without proof. With that, a leave of the server itself during such a foreign leave stayed foreign, and its own draining heartbeats then counted as proof of life; and a forged sequence number cost this proof one heartbeat.

Change: such a message is a foreign leave. Calls go on for 250 ms while the server is asked with a health check, which a leaving server does not answer well; a good answer, or three heartbeats of the current start in order, ends the leave, otherwise it is obeyed like any other. A leave of the current start itself is final. The fuzzer sends such messages too.

--- a/include/tanagerledge/backend_life.h
+++ b/include/tanagerledge/backend_life.h
@@ -20,6 +20,10 @@
 // so that no displacement lasts longer than that. After a heartbeat with a
 // sequence number that is far too high, three in order below it are accepted.
 //
+// The leave of another start of the same name (a foreign leave) may be true:
+// the current one may have died unnoticed. A health check that the current one
+// answers, or three of its heartbeats in order, end such a leave.
+//
 // The class does no I/O and reads no clock: callers pass in heartbeats and the
 // current time.
 
@@ -54,7 +58,8 @@
   kUnchanged,    // Only the time of the last heartbeat has changed.
   kChanged,      // The service, slots, state or start has changed.
   kStale,        // Ignored: a newer heartbeat or the leave is known.
-  kUnconfirmed,  // Not proven to live: a health check is needed.
+  kUnconfirmed,  // A health check of the backend server unconfirmed() is
+                 // needed.
 };
 
 struct BackendLifeConfig {
@@ -81,7 +86,8 @@
 
   HeartbeatVerdict OnHeartbeat(const Heartbeat& heartbeat, Instant now);
   // Handles the positive answer to a health check sent at `asked_at`: the
-  // backend server is running and not leaving. Returns false if newer
+  // backend server is running and not leaving. Ends a foreign leave of the
+  // current one. Otherwise it becomes the current one. Returns false if newer
   // information has arrived since, such as its leave or a heartbeat of the
   // current backend server.
   bool OnConfirmed(const Heartbeat& heartbeat, Instant asked_at, Instant now);
@@ -100,9 +106,13 @@
 
   // The current backend server in any state; unset before the first heartbeat.
   const std::optional<Heartbeat>& known() const { return this->current; }
-  // The backend server that must be confirmed with OnConfirmed, if any.
+  // The backend server that must be confirmed with OnConfirmed, if any. It is
+  // the current one after a foreign leave, otherwise a newcomer.
   const std::optional<Heartbeat>& unconfirmed() const {
-    return this->candidate;
+    return this->has_foreign_leave() ? this->current : this->candidate;
+  }
+  bool has_foreign_leave() const {
+    return this->heartbeats_since_foreign_leave.has_value();
   }
   // The state to announce to the fleet.
   EndpointState State(Instant now) const;
@@ -149,7 +159,9 @@
   HeartbeatVerdict Adopt(const Heartbeat& heartbeat, Instant now);
   void ReplaceCurrent(const Heartbeat& heartbeat);
   void BeginLeave(Instant now, std::chrono::milliseconds grace);
-  void CheckForeignLeave();
+  void BeginForeignLeave(Instant now, std::chrono::milliseconds doubt_time);
+  void EndForeignLeave();
+  void CheckForeignLeave(const Heartbeat& heartbeat);
   std::optional<Instant> LastUnknownLeave(const std::string& instance) const;
 
   BackendLifeConfig config;
@@ -159,9 +171,10 @@
   OrderedRun low_heartbeats;
   int heartbeats = 0;  // Heartbeats of the current start, in order.
   std::optional<Instant> leave_time;  // When its leave was acknowledged.
-  // Set if an older start of the same name announced the leave: the number of
-  // heartbeats of the current start since.
-  std::optional<int> heartbeats_since_foreign_leave;
+  // Set if another start of the same name announced the leave: the heartbeats
+  // of the current start since.
+  std::optional<OrderedRun> heartbeats_since_foreign_leave;
+  Instant doubt_end{};  // A foreign leave changes the state only then.
   Instant grace_end{};  // Calls already on their way are accepted until then.
   bool dead = false;
   std::optional<Heartbeat> candidate;
--- a/src/membership/backend_life.cc
+++ b/src/membership/backend_life.cc
@@ -14,6 +14,9 @@
 // This many heartbeats in order replace a health check. A backend server sends
 // no heartbeats after its leave, and delayed ones arrive singly.
 constexpr int kHeartbeatsToConfirm = 3;
+// How long the current backend server stays ready after a foreign leave, so
+// that its answer to a health check can arrive.
+constexpr std::chrono::milliseconds kForeignLeaveCheckTime{250};
 
 }  // namespace
 
@@ -32,6 +35,9 @@
   if (this->IsRetired(StartOf(heartbeat))) {
     return HeartbeatVerdict::kStale;
   }
+  if (this->IsCurrent(heartbeat)) {
+    this->CheckForeignLeave(heartbeat);
+  }
   if (this->IsCurrent(heartbeat) &&
       (heartbeat.draining || this->IsAtCurrentPlace(heartbeat))) {
     return this->OnCurrentHeartbeat(heartbeat, now);
@@ -51,7 +57,8 @@
     return this->Adopt(heartbeat, now);
   }
   // Draining is final for a start, even if its heartbeats arrive out of order.
-  if (heartbeat.draining && !this->leave_time) {
+  const bool is_known_to_leave = this->leave_time && !this->has_foreign_leave();
+  if (heartbeat.draining && !is_known_to_leave) {
     this->BeginLeave(now, this->config.drain_grace_period);
     return HeartbeatVerdict::kChanged;
   }
@@ -70,21 +77,23 @@
                                               Instant now) {
   const bool lives = this->State(now) == EndpointState::kReady;
   const bool same_name = this->current->instance == heartbeat.instance;
-  const bool replaces_current =
-      !this->IsOlderStart(heartbeat) && (!lives || same_name);
-  if (replaces_current) {
+  const bool is_older = this->IsOlderStart(heartbeat);
+  if (!lives && !is_older) {
     return this->Adopt(heartbeat, now);
   }
   this->Retire(StartOf(heartbeat));
   if (this->IsCandidate(heartbeat)) {
     this->candidate.reset();
   }
+  if (lives && same_name && !is_older) {
+    this->BeginForeignLeave(now, kForeignLeaveCheckTime);
+    return HeartbeatVerdict::kUnconfirmed;
+  }
   // The start that took its name has sent a single message, perhaps from
   // another writer.
   if (lives && same_name && this->heartbeats <= 1) {
-    this->BeginLeave(now, this->config.drain_grace_period);
-    this->heartbeats_since_foreign_leave = 0;
-    return HeartbeatVerdict::kChanged;
+    this->BeginForeignLeave(now, std::chrono::milliseconds{0});
+    return HeartbeatVerdict::kUnconfirmed;
   }
   return HeartbeatVerdict::kStale;
 }
@@ -122,13 +131,12 @@
     this->ReplaceCurrent(heartbeat);
   }
   ++this->heartbeats;
-  this->CheckForeignLeave();
   const bool same = same_start && was_present &&
                     this->current->service == heartbeat.service &&
                     this->current->slots == heartbeat.slots &&
                     this->current->address == heartbeat.address &&
                     this->leave_time.has_value() == heartbeat.draining;
-  if (heartbeat.draining && !this->leave_time) {
+  if (heartbeat.draining) {
     // No call can be on its way to a backend server that was unknown until now.
     this->BeginLeave(now, same_start ? this->config.drain_grace_period
                                      : std::chrono::milliseconds{0});
@@ -154,13 +162,28 @@
   this->heartbeats_since_foreign_leave.reset();
 }
 
-// Ends a leave that an earlier start of the same name announced once the
-// current start is proven to live.
-void BackendLife::CheckForeignLeave() {
-  if (this->heartbeats_since_foreign_leave &&
-      ++*this->heartbeats_since_foreign_leave >= kHeartbeatsToConfirm) {
-    this->leave_time.reset();
-    this->heartbeats_since_foreign_leave.reset();
+void BackendLife::BeginForeignLeave(Instant now,
+                                    std::chrono::milliseconds doubt_time) {
+  if (!this->leave_time) {
+    this->BeginLeave(now, this->config.drain_grace_period);
+    this->heartbeats_since_foreign_leave.emplace();
+    this->doubt_end = now + doubt_time;
+  }
+}
+
+void BackendLife::EndForeignLeave() {
+  this->leave_time.reset();
+  this->heartbeats_since_foreign_leave.reset();
+}
+
+// Ends a foreign leave once heartbeats of the current start, in order, prove
+// that it lives. Their sequence numbers may be below a known one that is too
+// high.
+void BackendLife::CheckForeignLeave(const Heartbeat& heartbeat) {
+  if (this->has_foreign_leave() && !heartbeat.draining &&
+      this->heartbeats_since_foreign_leave->Add(heartbeat.sequence) >=
+          kHeartbeatsToConfirm) {
+    this->EndForeignLeave();
   }
 }
 
@@ -172,6 +195,10 @@
       this->current && !this->dead && this->last_heartbeat >= asked_at;
   const bool known =
       this->IsCurrent(heartbeat) && this->IsAtCurrentPlace(heartbeat);
+  if (known && this->has_foreign_leave() && asked_at >= *this->leave_time) {
+    this->EndForeignLeave();
+    return true;
+  }
   if (this->IsRetired(StartOf(heartbeat)) || known || heard_from_current ||
       this->IsAnsweredByCurrent(heartbeat, now) ||
       (last_leave && *last_leave >= asked_at)) {
@@ -188,10 +215,7 @@
 
 void BackendLife::OnLeftEarlier(const Heartbeat& heartbeat, Instant now) {
   if (this->IsCurrent(heartbeat)) {
-    this->heartbeats_since_foreign_leave.reset();
-    if (!this->leave_time) {
-      this->BeginLeave(now, std::chrono::milliseconds{0});
-    }
+    this->BeginLeave(now, std::chrono::milliseconds{0});
   }
   if (this->IsCandidate(heartbeat)) {
     this->candidate.reset();
@@ -201,10 +225,7 @@
 
 bool BackendLife::OnLeave(const std::string& instance, Instant now) {
   if (this->current && this->current->instance == instance) {
-    if (!this->leave_time) {
-      this->BeginLeave(now, this->config.drain_grace_period);
-    }
-    this->heartbeats_since_foreign_leave.reset();
+    this->BeginLeave(now, this->config.drain_grace_period);
     this->Retire(StartOf(*this->current));
     return true;
   }
@@ -219,9 +240,14 @@
   return false;
 }
 
+// Handles a leave of the current start itself, which makes a foreign one final.
+// The first leave counts.
 void BackendLife::BeginLeave(Instant now, std::chrono::milliseconds grace) {
-  this->leave_time = now;
-  this->grace_end = now + grace;
+  this->heartbeats_since_foreign_leave.reset();
+  if (!this->leave_time) {
+    this->leave_time = now;
+    this->grace_end = now + grace;
+  }
 }
 
 bool BackendLife::OnDied(const std::string& instance, Instant now) {
@@ -242,7 +268,8 @@
   if (!this->current || this->dead) {
     return EndpointState::kGone;
   }
-  if (this->leave_time) {
+  const bool is_in_doubt = this->has_foreign_leave() && now < this->doubt_end;
+  if (this->leave_time && !is_in_doubt) {
     return EndpointState::kDraining;
   }
   return now - this->last_heartbeat > this->config.heartbeat_timeout
--- a/src/sidecar/backend_gateway.h
+++ b/src/sidecar/backend_gateway.h
@@ -99,10 +99,13 @@
   // Whether a call for the service may be run here now.
   bool Serves(const ServiceName& service) const;
   const std::optional<Heartbeat>& backend() const { return this->life.known(); }
-  // A backend server that sent a heartbeat but must pass a health check first.
+  // The backend server that must pass a health check; see BackendLife.
   const std::optional<Heartbeat>& unconfirmed_backend() const {
     return this->life.unconfirmed();
   }
+  // Another start of the same name has announced a leave, which a health check
+  // of the current one may disprove.
+  bool has_foreign_leave() const { return this->life.has_foreign_leave(); }
   // The state to announce to the fleet: a stopping node counts as draining.
   EndpointState AnnouncedState() const;
   EndpointState BackendState() const;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -679,7 +679,8 @@
            {"up_ms",
             duration_cast<milliseconds>(Now() - this->started).count()}});
     }
-    if (verdict == HeartbeatVerdict::kUnconfirmed) {
+    if (verdict == HeartbeatVerdict::kUnconfirmed ||
+        this->gateway.has_foreign_leave()) {
       this->ConfirmBackend();
     }
   } else {
--- a/tests/membership/backend_life_property_test.cc
+++ b/tests/membership/backend_life_property_test.cc
@@ -240,6 +240,51 @@
   return heartbeat;
 }
 
+// The backend server lives and answers health checks: one message of another
+// writer does not interrupt its calls.
+RC_GTEST_PROP(BackendLifeProperty,
+              SingleOddMessage_LiveBackendIsServedAllTheWhile,
+              ()) {
+  constexpr int kHeartbeatPeriodMs = 1500;
+  constexpr int kMaxAnswerTimeMs = 200;
+  BackendLife life;
+  const Instant began = Instant{} + std::chrono::hours(1);
+  Heartbeat own = ForgedHeartbeat(1, 1);
+  own.slots = 13;
+  const int heartbeats_before = *rc::gen::inRange(1, 4);
+  const int odd_at_ms = (heartbeats_before - 1) * kHeartbeatPeriodMs +
+                        *rc::gen::inRange(1, kHeartbeatPeriodMs);
+  const int answer_time_ms = *rc::gen::inRange(0, kMaxAnswerTimeMs);
+  const int kind = *rc::gen::inRange(0, 9);
+  const int number = *rc::gen::inRange(1, 3000);
+  const Heartbeat odd =
+      kind < 6 ? OddHeartbeat(kind, number) : ForgedHeartbeat(kind, number);
+  // The older start may be the true one if the newer one was heard only once.
+  const bool may_seem_to_leave = odd.draining && odd.born_ms < own.born_ms &&
+                                 odd.instance == own.instance &&
+                                 heartbeats_before == 1;
+  std::optional<Heartbeat> checked;
+  for (int at_ms = 0; at_ms < odd_at_ms + 4 * kHeartbeatPeriodMs; ++at_ms) {
+    const Instant now = began + milliseconds(at_ms);
+    if (at_ms % kHeartbeatPeriodMs == 0) {
+      ++own.sequence;
+      life.OnHeartbeat(own, now);
+    }
+    if (at_ms == odd_at_ms) {
+      life.OnHeartbeat(odd, now);
+      checked = life.unconfirmed();
+    }
+    const bool is_answered = checked && checked->instance == own.instance &&
+                             checked->address == own.address;
+    if (is_answered && at_ms == odd_at_ms + answer_time_ms) {
+      life.OnConfirmed(*checked, began + milliseconds(odd_at_ms), now);
+    }
+    RC_ASSERT((life.State(now) == EndpointState::kReady || may_seem_to_leave));
+    RC_ASSERT(life.MayRun({"claims"}, now));
+  }
+  RC_ASSERT(life.known()->address == own.address);
+}
+
 // The backend server lives all the while: whatever single messages arrive, it
 // accepts calls again after three of its heartbeats, and its leave is obeyed.
 RC_GTEST_PROP(BackendLifeProperty,
--- a/tests/membership/backend_life_test.cc
+++ b/tests/membership/backend_life_test.cc
@@ -284,6 +284,73 @@
   EXPECT_FALSE(this->MayRun());
 }
 
+// Guards against a live server that one draining message of a newer start of
+// its name silences.
+TEST_F(BackendLifeTest, NewerStartOfSameNameDrains_LiveOneStaysInDoubt) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  EXPECT_EQ(
+      this->life.OnHeartbeat(this->MakeHeartbeat("i1", 9, 1, true), this->now),
+      HeartbeatVerdict::kUnconfirmed);
+  EXPECT_EQ(this->life.unconfirmed()->born_ms, 5);
+  this->now += milliseconds(249);
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kReady);
+  // The message may be true, so it is obeyed like any leave.
+  this->now += milliseconds(1);
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kDraining);
+  EXPECT_TRUE(this->MayRun());
+  this->now += milliseconds(750);
+  EXPECT_FALSE(this->MayRun());
+}
+
+TEST_F(BackendLifeTest, NewerStartDrainsAndCurrentAnswersCheck_StaysReady) {
+  const Heartbeat current = this->MakeHeartbeat("i1", 5, 3);
+  this->life.OnHeartbeat(current, this->now);
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 9, 1, true), this->now);
+  const Instant asked = this->now;
+  this->now += milliseconds(900);
+  EXPECT_TRUE(this->life.OnConfirmed(current, asked, this->now));
+  EXPECT_EQ(this->life.State(this->now), EndpointState::kReady);
+  EXPECT_FALSE(this->life.unconfirmed().has_value());
+  // The leave of the newer start is acknowledged.
+  EXPECT_EQ(this->life.OnHeartbeat(this->MakeHeartbeat("i1", 9, 2), this->now),
+            HeartbeatVerdict::kStale);
+}
+
+TEST_F(BackendLifeTest, NewerStartDrainsAndCheckWasSentBefore_LeaveStands) {
+  const Heartbeat current = this->MakeHeartbeat("i1", 5, 3);
+  this->life.OnHeartbeat(current, this->now);
+  const Instant asked = this->now;
+  this->now += milliseconds(1);
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 9, 1, true), this->now);
+  EXPECT_FALSE(this->life.OnConfirmed(current, asked, this->now));
+  this->now += milliseconds(1000);
+  EXPECT_FALSE(this->MayRun());
+}
+
+TEST_F(BackendLifeTest, NewerStartDrains_ThreeHeartbeatsOfCurrentEndTheLeave) {
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 9, 1, true), this->now);
+  this->now += milliseconds(1500);
+  for (std::uint64_t sequence = 4; sequence < 7; ++sequence) {
+    EXPECT_FALSE(this->MayRun());
+    this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, sequence), this->now);
+  }
+  EXPECT_TRUE(this->MayRun());
+}
+
+// A leave of the current start itself is not disproved.
+TEST_F(BackendLifeTest, CurrentDrainsAfterForeignLeave_LeaveIsFinal) {
+  const Heartbeat current = this->MakeHeartbeat("i1", 5, 3);
+  this->life.OnHeartbeat(current, this->now);
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 9, 1, true), this->now);
+  const Instant asked = this->now;
+  this->now += milliseconds(1);
+  this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 4, true), this->now);
+  EXPECT_FALSE(this->life.OnConfirmed(current, asked, this->now));
+  this->now += milliseconds(1001);
+  EXPECT_FALSE(this->MayRun());
+}
+
 // The newer start of the name may be another writer's.
 TEST_F(BackendLifeTest, OlderStartOfSameNameDrains_DrainsUntilNewerIsProven) {
   this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
--- a/tests/process/hostile_message_fuzz_test.cc
+++ b/tests/process/hostile_message_fuzz_test.cc
@@ -160,7 +160,8 @@
     }
   }
 
-  // The leave of the backend server in its own name binds, whoever wrote it.
+  // The leave of the backend server in its own name binds, whoever wrote it,
+  // unless it has the birth time of another start.
   static bool IsLeave(const std::string& instance, const json& heartbeat) {
     return instance == kInstance &&
            heartbeat.value("state", json()) == "draining";
@@ -176,7 +177,10 @@
                                      ? "i-odd-" + std::to_string(this->Below(5))
                                      : kInstance;
     if (IsLeave(instance, heartbeat)) {
-      return;
+      const std::int64_t other_start = this->Below(2) == 0 ? 1 : -1;
+      heartbeat["born"] =
+          this->NextHeartbeat()["born"].get<std::int64_t>() + other_start;
+      doubled.clear();
     }
     std::string body =
         heartbeat.dump(-1, ' ', true, json::error_handler_t::replace);
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -959,6 +959,34 @@
   EXPECT_TRUE(this->NoCallReaches(this->first_backend, archive));
 }
 
+// Guards against a live server that one draining message of a newer start of
+// its name silences.
+TEST_F(SidecarTest, DrainingMessageOfNewerStart_LiveServerIsServedOn) {
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  this->SendHeartbeat(archive, this->first_backend);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+  HttpRequest request;
+  request.method = "PUT";
+  request.target = "/instances/" + this->first_backend.instance;
+  request.body = json{
+      {"service", "archive"},
+      {"address", this->first_backend.address},
+      {"zone", "a"},
+      {"version", "v1"},
+      {"slots", 4},
+      {"state", "draining"},
+      {"cold_remaining_ms", 0},
+      {"sequence", 1},
+      {"born", 2000}}.dump();
+  EXPECT_EQ(this->Send(archive.admin_address, request).status, 200);
+  const Instant until = std::chrono::steady_clock::now() + seconds(2);
+  while (std::chrono::steady_clock::now() < until) {
+    ASSERT_EQ(this->Call(archive, "archive.example").status, 200);
+  }
+}
+
 // Guards against a server that is lost until the node's next start (RECOVER),
 // after one heartbeat of a service that nobody names.
 TEST_F(SidecarTest, HeartbeatOfUnnamedService_LeavesBackendInPlace) {
