BackendLife builds with clang's rules for nested classes

clang-tidy 14 can't find the default constructor of a nested class with member initializers inside std::optional::emplace. An assignment does the same.

--- a/src/membership/backend_life.cc
+++ b/src/membership/backend_life.cc
@@ -166,7 +166,7 @@
                                     std::chrono::milliseconds doubt_time) {
   if (!this->leave_time) {
     this->BeginLeave(now, this->config.drain_grace_period);
-    this->heartbeats_since_foreign_leave.emplace();
+    this->heartbeats_since_foreign_leave = OrderedRun();
     this->doubt_end = now + doubt_time;
   }
 }
