--- a/fakes/node_process.h
+++ b/fakes/node_process.h
@@ -28,6 +28,8 @@
   // code, or -N when signal N ended it, or nothing while it runs.
   std::optional<int> Reap();
   bool running() const { return this->pid > 0; }
+  // The process id; 0 while it does not run.
+  pid_t id() const { return this->pid; }
 
  private:
   const std::string program;
--- a/fakes/resident_memory.h
+++ b/fakes/resident_memory.h
@@ -1,8 +1,9 @@
-// Measures the memory of this process, for tests that bound its growth.
+// Measures the memory of processes, for tests that bound it.
 
 #ifndef TANAGERLEDGE_FAKES_RESIDENT_MEMORY_H_
 #define TANAGERLEDGE_FAKES_RESIDENT_MEMORY_H_
 
+#include <sys/types.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 #include <chrono>
 #include <cstddef>
 #include <fstream>
+#include <string>
 #include <thread>
 
 namespace tanagerledge {
@@ -23,6 +25,19 @@
   return resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
 }
 
+// The most bytes of memory that a running process has had in RAM; 0 if the
+// system doesn't tell.
+inline std::size_t PeakResidentBytes(pid_t process) {
+  constexpr std::size_t kBytesPerKibibyte = 1024;
+  std::ifstream status("/proc/" + std::to_string(process) + "/status");
+  std::string word;
+  while (status >> word && word != "VmHWM:") {
+  }
+  std::size_t kibibytes = 0;
+  status >> kibibytes;
+  return kibibytes * kBytesPerKibibyte;
+}
+
 // Samples the resident memory each millisecond while it exists.
 class MemoryGrowth {
  public:
