--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -143,15 +143,15 @@
 
   // Waits until the caller closes the connection, which it does after reading
   // its last response. Closing a socket that has unread bytes would discard the
-  // bytes it has yet to send. What it sends is read into `discarded`.
-  void Linger(std::vector<char>& discarded) {
+  // bytes it has yet to send. What it sends is read into `scratch` and dropped.
+  void Linger(std::vector<char>& scratch) {
     error_code ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     this->stream.expires_after(this->linger_timeout);
     IoResult<std::size_t> read;
     while (!read.error) {
       read = Await<std::size_t>([&](auto done) {
-        this->stream.async_read_some(boost::asio::buffer(discarded),
+        this->stream.async_read_some(boost::asio::buffer(scratch),
                                      std::move(done));
       });
     }
