--- a/include/tanagerledge/backend_life.h
+++ b/include/tanagerledge/backend_life.h
@@ -174,7 +174,7 @@
   // Set if another start of the same name announced the leave: the heartbeats
   // of the current start since.
   std::optional<OrderedRun> heartbeats_since_foreign_leave;
-  Instant doubt_end{};  // A foreign leave changes the state only then.
+  Instant doubt_end{};  // Until then, a foreign leave leaves it ready.
   Instant grace_end{};  // Calls already on their way are accepted until then.
   bool dead = false;
   std::optional<Heartbeat> candidate;
