--- a/review/stand_in_2/endpoint.cc
+++ b/review/stand_in_2/endpoint.cc
@@ -97,10 +97,10 @@
     mesh::SleepMs(std::min(work, patience));
     --this->running;
     this->Note("end " + this->id + " " + attempt);
-    return response(work <= patience ? 200 : 504,
-                    echo + "X-Server-Stamp: " + this->id + "." + attempt +
-                        "\r\n",
-                    "ran " + attempt + "\n");
+    return response(
+        work <= patience ? 200 : 504,
+        echo + "X-Server-Stamp: " + this->id + "." + attempt + "\r\n",
+        "ran " + attempt + "\n");
   }
 
   void Serve(int fd) {
--- a/review/stand_in_2/left_crash.cc
+++ b/review/stand_in_2/left_crash.cc
@@ -134,7 +134,8 @@
     return status;
   };
 
-  // Clients of the sheet beside it, which stay. They are 30 to each that leaves.
+  // Clients of the sheet beside it, which stay. They are 30 to each that
+  // leaves.
   std::atomic<bool> stop{false};
   std::atomic<int> served{0};
   std::atomic<int> all{0};
@@ -237,9 +238,10 @@
          << " ms after the third crash (" << kMaxRetries << " allowed); "
          << served << " of " << all << " other requests were served, "
          << begun.size() << " unsafe ones were lost at work\n";
-  std::printf("%zu crashes, %d late retries, %d of %d others served, %zu unsafe "
-              "ones lost at work\n",
-              crashes.size(), late, served.load(), all.load(), begun.size());
+  std::printf(
+      "%zu crashes, %d late retries, %d of %d others served, %zu unsafe "
+      "ones lost at work\n",
+      crashes.size(), late, served.load(), all.load(), begun.size());
   record.close();
   std::fflush(stdout);
   std::_Exit(late > kMaxRetries ? 1 : 0);  // Threads of the store still run.
--- a/review/stand_in_2/mesh.cc
+++ b/review/stand_in_2/mesh.cc
@@ -58,12 +58,12 @@
     std::uint32_t group = 0;
     for (std::size_t j = 0; j < 3; ++j) {
       group <<= 8;
-      group |= i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j])
-                                    : 0U;
+      group |=
+          i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0U;
     }
     for (std::size_t j = 0; j < 4; ++j) {
-      text += i + j <= bytes.size() ? kDigits[(group >> (18 - 6 * j)) & 63]
-                                    : '=';
+      text +=
+          i + j <= bytes.size() ? kDigits[(group >> (18 - 6 * j)) & 63] : '=';
     }
   }
   return text;
@@ -204,8 +204,8 @@
     }
   }
   this->buffer.erase(0, end + 4);
-  const auto length =
-      static_cast<std::size_t>(std::atoll(message.Header("Content-Length").c_str()));
+  const auto length = static_cast<std::size_t>(
+      std::atoll(message.Header("Content-Length").c_str()));
   while (this->buffer.size() < length) {
     if (!more()) {
       return std::nullopt;
@@ -285,8 +285,8 @@
     auto& records = this->topics[name].records;
     const std::string at = Query(request.target, "at");
     if (!at.empty() && std::stoull(at) != records.size()) {
-      return Response(412, json,
-                      "{\"end_offset\":" + std::to_string(records.size()) + "}");
+      return Response(
+          412, json, "{\"end_offset\":" + std::to_string(records.size()) + "}");
     }
     const std::size_t first = records.size();
     for (std::size_t i = 0; i + 4 <= request.body.size();) {
@@ -498,9 +498,10 @@
   }
   const bool has_body = !attempt.body.empty() || attempt.method != "GET";
   const bool written = connection.Write(
-      attempt.method + " " + attempt.path + " HTTP/1.1\r\nHost: " +
-      attempt.host + "\r\nX-Attempt-Id: " + attempt.id + "\r\nX-Deadline-Ms: " +
-      std::to_string(attempt.deadline_ms) + "\r\n" + attempt.extra +
+      attempt.method + " " + attempt.path +
+      " HTTP/1.1\r\nHost: " + attempt.host + "\r\nX-Attempt-Id: " + attempt.id +
+      "\r\nX-Deadline-Ms: " + std::to_string(attempt.deadline_ms) + "\r\n" +
+      attempt.extra +
       (has_body
            ? "Content-Length: " + std::to_string(attempt.body.size()) + "\r\n"
            : "") +
