review: case 7, late heartbeats outvote an acknowledged leave

DRAIN: after a kill right behind the acknowledgement, three late heartbeats make the node's next start serve an endpoint whose health check says 503. Ruled out: without the kill and the late heartbeats nothing arrives late.

--- a/review/stand_in_2/endpoint.cc
+++ b/review/stand_in_2/endpoint.cc
@@ -1,10 +1,16 @@
 // An endpoint as PROTOCOL.md describes it. It doesn't drop a request when the
 // connection of the request closes, as some endpoints do.
 //
-//   endpoint ADDRESS ADMIN SERVICE ZONE SLOTS CRASH_MS RECORD
+//   endpoint ADDRESS ADMIN SERVICE ZONE SLOTS CRASH_MS RECORD [LATE]
 //
 // A path names its work: a segment `wN` takes N ms. A path with the segment
 // `crash` ends the process CRASH_MS after it began to run.
+//
+// On SIGUSR1 the endpoint leaves without reporting `draining`: it sends DELETE
+// kLeaveAfterMs later, serves for kServesOnMs more and exits. Its heartbeats of
+// that time aren't answered in time and are sent again after a second. With
+// LATE = 1 they arrive only after the leave, as kArriveAfterLeaveMs has it;
+// with LATE = 0 they arrive at once.
 
 #include <fcntl.h>
 #include <signal.h>
@@ -23,6 +29,12 @@
 
 namespace {
 
+constexpr std::int64_t kBeatMs = 1500;
+constexpr std::int64_t kLeaveAfterMs = 4100;
+constexpr std::int64_t kServesOnMs = 5500;
+// Sent 1,500, 2,500 and 3,500 ms after the last heartbeat in time.
+constexpr std::int64_t kArriveAfterLeaveMs[] = {800, 1200, 1600};
+
 struct Endpoint {
   std::string address, admin, service, zone, id;
   int slots = 0;
@@ -30,35 +42,89 @@
   std::int64_t born = 0;
   int record = -1;
   std::atomic<int> running{0};
+  std::atomic<std::uint64_t> sequence{0};
+  std::atomic<std::int64_t> last_beat{0};
+  std::atomic<bool> leave_asked{false};
+  std::atomic<bool> leaving{false};
+  bool late = false;
 
   void Note(const std::string& what) const {
     const std::string line = std::to_string(mesh::NowMs()) + " " + what + "\n";
     (void)!write(this->record, line.data(), line.size());
   }
 
+  std::string BeatBytes() {
+    const std::string body =
+        "{\"service\":\"" + this->service + "\",\"address\":\"" +
+        this->address + "\",\"zone\":\"" + this->zone +
+        "\",\"version\":\"v1\",\"slots\":" + std::to_string(this->slots) +
+        ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":" +
+        std::to_string(++this->sequence) +
+        ",\"born\":" + std::to_string(this->born) + "}";
+    return "PUT /instances/" + this->id +
+           " HTTP/1.1\r\nHost: node\r\nContent-Type: application/json\r\n"
+           "Content-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+  bool SendToNode(const std::string& bytes) const {
+    mesh::Connection node;
+    if (!node.Open(this->admin, 1000) || !node.Write(bytes)) {
+      return false;
+    }
+    const auto answer = node.Read(true, 1000);
+    return answer && answer->status == 200;
+  }
+
   void Beat() {
-    for (std::uint64_t sequence = 1;; ++sequence) {
-      const std::string body =
-          "{\"service\":\"" + this->service + "\",\"address\":\"" +
-          this->address + "\",\"zone\":\"" + this->zone +
-          "\",\"version\":\"v1\",\"slots\":" + std::to_string(this->slots) +
-          ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":" +
-          std::to_string(sequence) + ",\"born\":" + std::to_string(this->born) +
-          "}";
-      mesh::Connection node;
-      const bool acknowledged = [&] {
-        if (!node.Open(this->admin, 1000) ||
-            !node.Write("PUT /instances/" + this->id +
-                        " HTTP/1.1\r\nHost: node\r\nContent-Type: "
-                        "application/json\r\nContent-Length: " +
-                        std::to_string(body.size()) + "\r\n\r\n" + body)) {
-          return false;
-        }
-        const auto answer = node.Read(true, 1000);
-        return answer && answer->status == 200;
-      }();
-      mesh::SleepMs(acknowledged ? 1500 : 200);
+    while (!this->leaving) {
+      const bool acknowledged = this->SendToNode(this->BeatBytes());
+      this->last_beat = mesh::NowMs();
+      mesh::SleepMs(acknowledged ? kBeatMs : 200);
+      while (this->leave_asked && !this->leaving) {
+        mesh::SleepMs(5);
+      }
+    }
+  }
+
+  void RunLeave() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGUSR1);
+    int number = 0;
+    sigwait(&signals, &number);
+    // Begins with a heartbeat that arrives in time.
+    const std::int64_t before = this->last_beat;
+    while (this->last_beat == before) {
+      mesh::SleepMs(2);
     }
+    this->leave_asked = true;
+    const std::int64_t last = this->last_beat;
+    const std::int64_t leave = last + kLeaveAfterMs;
+    std::thread late([this, last, leave] {
+      std::string held[3];
+      for (int i = 0; i < 3; ++i) {
+        mesh::SleepMs(last + kBeatMs + 1000 * i - mesh::NowMs());
+        held[i] = this->BeatBytes();
+        if (!this->late) {
+          this->SendToNode(held[i]);
+        }
+      }
+      for (int i = 0; this->late && i < 3; ++i) {
+        mesh::SleepMs(leave + kArriveAfterLeaveMs[i] - mesh::NowMs());
+        this->SendToNode(held[i]);
+        this->Note("late " + this->id + " heartbeat");
+      }
+    });
+    mesh::SleepMs(leave - mesh::NowMs());
+    this->leaving = true;
+    const bool acknowledged = this->SendToNode(
+        "DELETE /instances/" + this->id + " HTTP/1.1\r\nHost: node\r\n\r\n");
+    this->Note((acknowledged ? "left " : "unheard ") + this->id);
+    late.join();
+    mesh::SleepMs(leave + kServesOnMs - mesh::NowMs());
+    this->Note("exit " + this->id);
+    std::_Exit(0);
   }
 
   std::string Answer(const mesh::Message& request) {
@@ -70,7 +136,7 @@
     };
     const std::string own = "X-Instance-Id: " + this->id + "\r\n";
     if (request.target == "/health") {
-      return response(200, own, "");
+      return response(this->leaving ? 503 : 200, own, "");
     }
     const std::string attempt = request.Header("X-Attempt-Id");
     const std::string echo = "X-Attempt-Id: " + attempt + "\r\n";
@@ -116,7 +182,7 @@
 }  // namespace
 
 int main(int count, char** words) {
-  if (count != 8) {
+  if (count != 8 && count != 9) {
     return 2;
   }
   prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -128,7 +194,12 @@
   self.slots = std::atoi(words[5]);
   self.crash_ms = std::atoll(words[6]);
   self.record = open(words[7], O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  self.late = count == 9 && std::string(words[8]) == "1";
   self.born = mesh::UnixMs();
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGUSR1);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   self.id = "i-" + mesh::NewId();
   const int listener = mesh::Listen(self.address);
   if (listener < 0) {
@@ -136,6 +207,7 @@
   }
   self.Note("up " + self.id + " " + self.service);
   std::thread([&self] { self.Beat(); }).detach();
+  std::thread([&self] { self.RunLeave(); }).detach();
   while (true) {
     const int client = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
     if (client >= 0) {
