review: case 7, late heartbeats of the former start undo a drain

DRAIN, without any disturbance of a node: three late heartbeats of the start before, under the same id, make the node serve a draining endpoint again and ignore its own heartbeats.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,18 +1,18 @@
 #!/usr/bin/env bash
 # Exits with 1 if DRAIN was broken, 0 if it held, 2 if the case couldn't run.
-# TROUBLE=0: the same leave; the node isn't killed and no heartbeat is late.
+# TROUBLE=0: the same crash, start and leave, but no heartbeat is late.
 set -uo pipefail
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 node=target/tanagerledged
 tools=target/review-2
-if [[ ! -x $node || ! -x $tools/endpoint || ! -x $tools/late_beats ]]; then
+if [[ ! -x $node || ! -x $tools/endpoint || ! -x $tools/old_start ]]; then
   echo "build the deploy file's target and run review/build-2.sh first"
   exit 2
 fi
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
-timeout 100 "$tools/late_beats" "$node" "$tools/endpoint" "$work" \
+timeout 100 "$tools/old_start" "$node" "$tools/endpoint" "$work" \
   "$here/record.txt" "${TROUBLE:-1}"
 code=$?
 [[ $code -le 1 ]] || code=2
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/stand_in_2"
 out=../../target/review-2
 mkdir -p "$out"
-for program in endpoint left_crash late_beats; do
+for program in endpoint left_crash late_beats old_start hidden_close; do
   g++ -std=c++20 -O1 -Wall -Wextra mesh.cc "$program.cc" -o "$out/$program" \
     -pthread
 done
--- a/review/stand_in_2/endpoint.cc
+++ b/review/stand_in_2/endpoint.cc
@@ -1,7 +1,8 @@
-// An endpoint as PROTOCOL.md describes it. It doesn't drop a request when the
-// connection of the request closes, as some endpoints do.
+// An endpoint as PROTOCOL.md describes it. With DROPS = 1 it drops a request
+// when the connection of the request closes, as most endpoints do.
 //
-//   endpoint ADDRESS ADMIN SERVICE ZONE SLOTS CRASH_MS RECORD [LATE]
+//   endpoint ADDRESS ADMIN SERVICE ZONE SLOTS CRASH_MS RECORD [LATE [ID
+//   [DROPS]]]
 //
 // A path names its work: a segment `wN` takes N ms. A path with the segment
 // `crash` ends the process CRASH_MS after it began to run.
@@ -32,6 +33,7 @@
 constexpr std::int64_t kBeatMs = 1500;
 constexpr std::int64_t kLeaveAfterMs = 4100;
 constexpr std::int64_t kServesOnMs = 5500;
+constexpr std::int64_t kDrainsForMs = 4900;
 // Sent 1,500, 2,500 and 3,500 ms after the last heartbeat in time.
 constexpr std::int64_t kArriveAfterLeaveMs[] = {800, 1200, 1600};
 
@@ -47,6 +49,8 @@
   std::atomic<bool> leave_asked{false};
   std::atomic<bool> leaving{false};
   bool late = false;
+  bool drains = false;
+  bool drops = false;
 
   void Note(const std::string& what) const {
     const std::string line = std::to_string(mesh::NowMs()) + " " + what + "\n";
@@ -58,7 +62,8 @@
         "{\"service\":\"" + this->service + "\",\"address\":\"" +
         this->address + "\",\"zone\":\"" + this->zone +
         "\",\"version\":\"v1\",\"slots\":" + std::to_string(this->slots) +
-        ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":" +
+        ",\"state\":\"" + (this->leaving ? "draining" : "ready") +
+        "\",\"cold_remaining_ms\":0,\"sequence\":" +
         std::to_string(++this->sequence) +
         ",\"born\":" + std::to_string(this->born) + "}";
     return "PUT /instances/" + this->id +
@@ -77,7 +82,7 @@
   }
 
   void Beat() {
-    while (!this->leaving) {
+    while (!this->leaving || this->drains) {
       const bool acknowledged = this->SendToNode(this->BeatBytes());
       this->last_beat = mesh::NowMs();
       mesh::SleepMs(acknowledged ? kBeatMs : 200);
@@ -93,6 +98,16 @@
     sigaddset(&signals, SIGUSR1);
     int number = 0;
     sigwait(&signals, &number);
+    if (this->drains) {
+      this->leaving = true;
+      const bool acknowledged = this->SendToNode(this->BeatBytes());
+      this->Note((acknowledged ? "left " : "unheard ") + this->id);
+      mesh::SleepMs(kDrainsForMs);
+      this->SendToNode("DELETE /instances/" + this->id +
+                       " HTTP/1.1\r\nHost: node\r\n\r\n");
+      this->Note("exit " + this->id);
+      std::_Exit(0);
+    }
     // Begins with a heartbeat that arrives in time.
     const std::int64_t before = this->last_beat;
     while (this->last_beat == before) {
@@ -127,7 +142,8 @@
     std::_Exit(0);
   }
 
-  std::string Answer(const mesh::Message& request) {
+  std::string Answer(const mesh::Message& request,
+                     const mesh::Connection& connection) {
     const auto response = [&](int status, const std::string& more,
                               const std::string& body) {
       return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + more +
@@ -160,7 +176,15 @@
         at == std::string::npos ? 20 : std::atoll(&request.target[at + 2]);
     const std::int64_t patience =
         std::atoll(request.Header("X-Deadline-Ms").c_str());
-    mesh::SleepMs(std::min(work, patience));
+    const std::int64_t until = mesh::NowMs() + std::min(work, patience);
+    while (mesh::NowMs() < until) {
+      mesh::SleepMs(std::min<std::int64_t>(5, until - mesh::NowMs()));
+      if (this->drops && connection.IsClosed()) {
+        --this->running;
+        this->Note("drop " + this->id + " " + attempt);
+        return "";
+      }
+    }
     --this->running;
     this->Note("end " + this->id + " " + attempt);
     return response(
@@ -172,7 +196,7 @@
   void Serve(int fd) {
     mesh::Connection connection(fd);
     while (const auto request = connection.Read(false, 10'000)) {
-      if (!connection.Write(this->Answer(*request))) {
+      if (!connection.Write(this->Answer(*request, connection))) {
         return;
       }
     }
@@ -182,7 +206,7 @@
 }  // namespace
 
 int main(int count, char** words) {
-  if (count != 8 && count != 9) {
+  if (count < 8 || count > 11) {
     return 2;
   }
   prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -194,13 +218,15 @@
   self.slots = std::atoi(words[5]);
   self.crash_ms = std::atoll(words[6]);
   self.record = open(words[7], O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-  self.late = count == 9 && std::string(words[8]) == "1";
+  self.late = count > 8 && std::string(words[8]) == "1";
+  self.drops = count > 10 && std::string(words[10]) == "1";
+  self.drains = count > 8 && std::string(words[8]) == "2";
   self.born = mesh::UnixMs();
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGUSR1);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  self.id = "i-" + mesh::NewId();
+  self.id = count > 9 && *words[9] != 0 ? words[9] : "i-" + mesh::NewId();
   const int listener = mesh::Listen(self.address);
   if (listener < 0) {
     return 2;
--- a/review/stand_in_2/mesh.cc
+++ b/review/stand_in_2/mesh.cc
@@ -216,6 +216,12 @@
   return message;
 }
 
+bool Connection::IsClosed() const {
+  char byte = 0;
+  const ssize_t n = recv(this->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN);
+}
+
 void Connection::Close() {
   if (this->fd >= 0) {
     close(this->fd);
--- a/review/stand_in_2/mesh.h
+++ b/review/stand_in_2/mesh.h
@@ -46,6 +46,8 @@
   // Nothing at the end of the connection, on an error or after the time.
   std::optional<Message> Read(bool response, std::int64_t timeout_ms);
   void Close();
+  // Whether the other side has closed the connection, as far as it shows.
+  bool IsClosed() const;
   // True when the last Read gave up because of its time.
   bool timed_out = false;
 
