Keep the lease of a late suspect for its whole run

Callers saw: a request that crashes backend servers could run at two of them at the same time, although its first death was known, if it had waited for a slot when that news came.

Cause: SuspectHost::Recheck waits 20 ms at most for a lease, and used the end of this wait as the end of the lease as well. The home node and the node itself granted the next lease 20 ms later, while the first run went on.

Change: how long to wait and how long the lease lasts are two arguments; the lease of a rechecked call ends at its deadline, as that of any other suspect.

Result: BackendGatewayTest.SuspectSinceItWaitsForASlot_HoldsItsLeaseAsLong failed before (a second lease was granted beside the running suspect) and passes now.

--- a/src/node/executor.cc
+++ b/src/node/executor.cc
@@ -108,7 +108,8 @@
     this->suspects.OnCallUnproven(call.fingerprint, call.suspect);
     return refuse(refusal, "refused by the back end's node");
   }
-  call.suspect = this->suspects.Recheck(call.fingerprint, call.suspect);
+  call.suspect =
+      this->suspects.Recheck(call.fingerprint, call.suspect, call.deadline);
   auto suspect_refusal = this->RefuseSuspect(call);
   wire::CallReply reply =
       suspect_refusal ? std::move(*suspect_refusal) : this->RunOnce(link, call);
--- a/src/node/suspect_host.cc
+++ b/src/node/suspect_host.cc
@@ -187,6 +187,12 @@
 }
 
 SuspectVerdict SuspectHost::Admit(Fingerprint fingerprint, Instant deadline) {
+  return this->AdmitWithin(fingerprint, deadline, deadline);
+}
+
+SuspectVerdict SuspectHost::AdmitWithin(Fingerprint fingerprint,
+                                        Instant wait_until,
+                                        Instant lease_end) {
   if (this->suspect_count.load(std::memory_order_acquire) == 0) {
     return SuspectVerdict::kRun;
   }
@@ -198,17 +204,18 @@
     case SuspectState::kSuspect:
       break;
   }
-  const auto verdict =
-      RunOn(this->control, deadline, [this, fingerprint, deadline] {
-        return this->AwaitLease(fingerprint, deadline);
+  const auto verdict = RunOn(
+      this->control, wait_until, [this, fingerprint, wait_until, lease_end] {
+        return this->AwaitLease(fingerprint, wait_until, lease_end);
       });
   return verdict.value_or(SuspectVerdict::kNoLease);
 }
 
 SuspectVerdict SuspectHost::Recheck(Fingerprint fingerprint,
-                                    SuspectVerdict verdict) {
+                                    SuspectVerdict verdict,
+                                    Instant deadline) {
   return verdict == SuspectVerdict::kRun
-             ? this->Admit(fingerprint, Now() + kRecheckTimeout)
+             ? this->AdmitWithin(fingerprint, Now() + kRecheckTimeout, deadline)
              : verdict;
 }
 
@@ -303,8 +310,9 @@
 }
 
 SuspectVerdict SuspectHost::AwaitLease(Fingerprint fingerprint,
-                                       Instant deadline) {
-  while (Now() < deadline && !this->waits_canceled) {
+                                       Instant wait_until,
+                                       Instant lease_end) {
+  while (Now() < wait_until && !this->waits_canceled) {
     switch (this->StateOf(fingerprint)) {
       case SuspectState::kClear:
         return SuspectVerdict::kRun;
@@ -313,7 +321,7 @@
       case SuspectState::kSuspect:
         break;
     }
-    if (this->TryAcquireLease(fingerprint, deadline)) {
+    if (this->TryAcquireLease(fingerprint, lease_end)) {
       return SuspectVerdict::kRunLeased;
     }
     if (!this->control.SleepFor(kLeaseRetryInterval)) {
@@ -326,14 +334,14 @@
 // First takes this node's own place for a suspect, which needs no message, and
 // then requests the lease from the home node, which grants the leases for this
 // fingerprint.
-bool SuspectHost::TryAcquireLease(Fingerprint fingerprint, Instant deadline) {
+bool SuspectHost::TryAcquireLease(Fingerprint fingerprint, Instant lease_end) {
   {
     const std::scoped_lock lock(this->mutex);
-    if (!this->table.TryAcquireLocalSlot(fingerprint, Now(), deadline)) {
+    if (!this->table.TryAcquireLocalSlot(fingerprint, Now(), lease_end)) {
       return false;
     }
   }
-  const LeaseAnswer answer = this->RequestLease(fingerprint, deadline);
+  const LeaseAnswer answer = this->RequestLease(fingerprint, lease_end);
   if (answer == LeaseAnswer::kGranted) {
     return true;
   }
@@ -369,18 +377,18 @@
 }
 
 LeaseAnswer SuspectHost::RequestLease(Fingerprint fingerprint,
-                                      Instant deadline) {
+                                      Instant lease_end) {
   const NodeId home = this->HomeOf(fingerprint);
   if (home == this->self) {
     const std::scoped_lock lock(this->mutex);
-    return this->table.OnLeaseRequest(fingerprint, home, TimeLeft(deadline),
+    return this->table.OnLeaseRequest(fingerprint, home, TimeLeft(lease_end),
                                       Now());
   }
   wire::SuspectRequest request;
   wire::SuspectLeaseRequest lease;
   lease.fingerprint = static_cast<std::int64_t>(fingerprint.value);
   // A lease of no length would be a return.
-  lease.lease_us = std::max<std::int64_t>(1, TimeLeft(deadline).count());
+  lease.lease_us = std::max<std::int64_t>(1, TimeLeft(lease_end).count());
   request.__set_lease(lease);
   const auto bytes = this->peers.Request(home, Channel::kSuspects,
                                          Encode(request), kLeaseTimeout);
--- a/src/node/suspect_host.h
+++ b/src/node/suspect_host.h
@@ -8,7 +8,7 @@
 //   if (verdict == SuspectVerdict::kRefuse)  { /* not-run, kQuarantined */ }
 //   if (verdict == SuspectVerdict::kNoLease) { /* not-run, kOverloaded  */ }
 //   ... wait for a slot ...
-//   verdict = suspects.Recheck(fingerprint, verdict);  // As above.
+//   verdict = suspects.Recheck(fingerprint, verdict, deadline);  // As above.
 //   ... send ...
 //   suspects.OnCallAnswered(fingerprint, verdict);  // It ran to its end, or
 //   suspects.OnCallUnproven(fingerprint, verdict);
@@ -85,7 +85,9 @@
 
   // The verdict of Admit may be obsolete when the call gets its slot. Returns
   // the current one; waits only briefly for a lease. Called from any fiber.
-  SuspectVerdict Recheck(Fingerprint fingerprint, SuspectVerdict verdict);
+  SuspectVerdict Recheck(Fingerprint fingerprint,
+                         SuspectVerdict verdict,
+                         Instant deadline);
 
   // Reports that the backend server ran a call to its end, which clears it.
   // Called from any fiber.
@@ -114,9 +116,14 @@
 
  private:
   SuspectState StateOf(Fingerprint fingerprint);
-  SuspectVerdict AwaitLease(Fingerprint fingerprint, Instant deadline);
-  bool TryAcquireLease(Fingerprint fingerprint, Instant deadline);
-  LeaseAnswer RequestLease(Fingerprint fingerprint, Instant deadline);
+  SuspectVerdict AdmitWithin(Fingerprint fingerprint,
+                             Instant wait_until,
+                             Instant lease_end);
+  SuspectVerdict AwaitLease(Fingerprint fingerprint,
+                            Instant wait_until,
+                            Instant lease_end);
+  bool TryAcquireLease(Fingerprint fingerprint, Instant lease_end);
+  LeaseAnswer RequestLease(Fingerprint fingerprint, Instant lease_end);
   NodeId HomeOf(Fingerprint fingerprint) const;
   void ReturnLease(Fingerprint fingerprint);
   void Broadcast(std::vector<Suspicion> suspicions);
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -355,7 +355,7 @@
     return NotRun(decision.reason, "no slot in time", decision.room_in);
   }
   wire::CallReply reply;
-  verdict = this->suspects.Recheck(call.fingerprint, verdict);
+  verdict = this->suspects.Recheck(call.fingerprint, verdict, call.deadline);
   if (auto refusal = suspect_refusal()) {
     reply = std::move(*refusal);
   } else if (call.caller_left) {
--- a/tests/sidecar/backend_gateway_test.cc
+++ b/tests/sidecar/backend_gateway_test.cc
@@ -105,7 +105,7 @@
     wire::CallRequest request;
     request.service_name = "claims";
     request.method = "POST";
-    request.target = "/x/1";
+    request.target = this->target;
     request.route = "claims";
     request.attempt_id = attempt_id;
     request.remaining_us = microseconds(kCallTimeout).count();
@@ -136,6 +136,7 @@
   std::unique_ptr<ScriptedBackend> backend;
   std::uint64_t heartbeat_count = 0;
   std::int64_t sends = 0;
+  std::string target = "/x/1";  // Of calls.
 };
 
 // Both arrive in one read; the fiber of the call begins later.
@@ -408,6 +409,35 @@
       });
 }
 
+// Guards against a second run of a suspect beside the first: the lease of a
+// call that became a suspect while it waited for a slot ended too soon.
+TEST_F(BackendGatewayTest, SuspectSinceItWaitsForASlot_HoldsItsLeaseAsLong) {
+  this->RunWithBackend(
+      [](const HttpRequest& request, int) {
+        return std::vector<Part>{
+            {Success(std::string(request.Header("X-Attempt-Id"))),
+             kCallTimeout / 2}};
+      },
+      [&] {
+        const Fingerprint suspect = FingerprintOf({""}, "POST", "/x/1", "");
+        Heartbeat narrow = this->MakeHeartbeat("i-1");
+        narrow.slots = 1;
+        this->gateway.OnHeartbeat(narrow);
+        this->target = "/x/other";
+        boost::fibers::fiber first([&] { this->Call("a-1"); });
+        this->loop.SleepFor(kCallTimeout / 8);
+        this->target = "/x/1";
+        boost::fibers::fiber queued([&] { this->Call("a-2"); });
+        this->loop.SleepFor(kCallTimeout / 8);
+        this->suspects.ReportBackendDeath("i-0", {suspect});
+        this->loop.SleepFor(kCallTimeout * 3 / 8);
+        EXPECT_EQ(this->suspects.Admit(suspect, Now() + kCallTimeout / 20),
+                  SuspectVerdict::kNoLease);
+        first.join();
+        queued.join();
+      });
+}
+
 // A node runs one suspect at a time, so an answer that is lost must not keep
 // the others waiting.
 TEST_F(BackendGatewayTest, SuspectsAnswerIsLost_NextSuspectRunsAtOnce) {
