Suspect crashing requests whose connections the node closed

Cause: a death is charged to the calls in flight. When the node itself closed the connection of a call (caller left, deadline, unreadable answer), it forgot the call at once, and a call whose connection was lost after two checks, though it may still run. Suspects were aborted too, and gave their lease back before they crashed the next endpoint.

Change: UnobservedRuns remembers such calls until the backend server is known to live later than they can run. A suspect is not aborted, and keeps its lease past its deadline. Not to suspect innocent calls, one whose connection was refused is not charged any more, nor are calls cut by the planned exit of a server that has sent its leave message.

--- a/fakes/test_backend.h
+++ b/fakes/test_backend.h
@@ -56,6 +56,7 @@
       return refusal;
     }
     if (request.target.find("crash") != std::string::npos) {
+      this->loop.SleepFor(this->crash_after.load());
       ++this->crashes;
       this->loop.SpawnHere([this] { this->server.Close(); });
       return std::nullopt;
@@ -103,6 +104,9 @@
   std::atomic<std::size_t> answer_bytes{0};  // 0: a short default body.
   std::atomic<int> began{0};                 // Requests that it began to run.
   std::atomic<int> crashes{0};               // Requests that ended it.
+  // How long a request that ends it runs before.
+  std::atomic<std::chrono::milliseconds> crash_after{
+      std::chrono::milliseconds(0)};
   IoLoop& loop;
   HttpServer server;
 
--- a/include/tanagerledge/suspects.h
+++ b/include/tanagerledge/suspects.h
@@ -43,6 +43,10 @@
 // The fingerprint as 16 hexadecimal digits, for logs.
 std::string ToText(Fingerprint fingerprint);
 
+// A backend server stops work at the deadline that it was given. This covers
+// one that does so late, or fails while it does.
+inline constexpr std::chrono::milliseconds kMaxRunPastDeadline{2000};
+
 // Table ---------------------------------------------------------------------
 
 enum class SuspectState { kClear = 0, kSuspect = 1, kQuarantined = 2 };
--- a/src/node/suspect_host.cc
+++ b/src/node/suspect_host.cc
@@ -187,7 +187,8 @@
 }
 
 SuspectVerdict SuspectHost::Admit(Fingerprint fingerprint, Instant deadline) {
-  return this->AdmitWithin(fingerprint, deadline, deadline);
+  return this->AdmitWithin(fingerprint, deadline,
+                           deadline + kMaxRunPastDeadline);
 }
 
 SuspectVerdict SuspectHost::AdmitWithin(Fingerprint fingerprint,
@@ -215,7 +216,8 @@
                                     SuspectVerdict verdict,
                                     Instant deadline) {
   return verdict == SuspectVerdict::kRun
-             ? this->AdmitWithin(fingerprint, Now() + kRecheckTimeout, deadline)
+             ? this->AdmitWithin(fingerprint, Now() + kRecheckTimeout,
+                                 deadline + kMaxRunPastDeadline)
              : verdict;
 }
 
--- a/src/node/suspect_host.h
+++ b/src/node/suspect_host.h
@@ -76,7 +76,8 @@
   std::string OnPeerRequest(const NodeId& from, std::string_view request);
 
   // Decides whether a call may run. A suspect waits for its lease, up to the
-  // deadline. Called from any fiber of any loop.
+  // deadline, and holds it until its run is over, kMaxRunPastDeadline after the
+  // deadline at the latest. Called from any fiber of any loop.
   SuspectVerdict Admit(Fingerprint fingerprint, Instant deadline);
 
   // Ends all waits for leases, also later ones, with kNoLease. Called from any
@@ -95,7 +96,8 @@
   // Reports that a call has ended in another way, which proves nothing: it did
   // not run, its answer was lost, or the backend server answered with an error,
   // perhaps because its deadline or a call of its own ended the run early.
-  // Gives its lease back. Called from any fiber.
+  // Gives its lease back. Called from any fiber, but not for a call that the
+  // backend server may still run: its lease ends by itself.
   void OnCallUnproven(Fingerprint fingerprint, SuspectVerdict verdict);
 
   // Reports that this node's backend server died while it ran these calls, and
--- a/src/sidecar/backend_gateway.cc
+++ b/src/sidecar/backend_gateway.cc
@@ -207,8 +207,9 @@
   call->caller_left = true;
   this->ApplyActions(this->queue.OnCancel(call->id));
   // A call that is not idempotent runs to its end: if it were aborted, nobody
-  // would know whether it ran.
-  if (call->abort_exchange && call->request->idempotent) {
+  // would know whether it ran. Only the end of a suspect shows whether it is
+  // harmless.
+  if (call->abort_exchange && call->request->idempotent && !call->leased) {
     call->abort_exchange();
   }
 }
@@ -309,7 +310,7 @@
   }
   if (FinishKindOf(reply) == FinishKind::kOk) {
     this->suspects.OnCallAnswered(call->fingerprint, verdict);
-  } else {
+  } else if (!call->may_run_on) {
     this->suspects.OnCallUnproven(call->fingerprint, verdict);
   }
   return reply;
@@ -452,10 +453,9 @@
     return NotRun(Reason::kDeadline, "no time was left to run it");
   }
   const Heartbeat& backend = *this->life.known();
-  call.instance = backend.instance;
-  call.born_ms = backend.born_ms;
-  const HttpRequest out =
-      this->platform.ToBackendRequest(request, call.instance, remaining);
+  call.backend = {backend.instance, backend.born_ms};
+  const HttpRequest out = this->platform.ToBackendRequest(
+      request, call.backend.instance, remaining);
   ExchangeOptions exchange;
   exchange.id = request.attempt_id;
   exchange.matches_request = [this, &request](const HttpResponse& answer) {
@@ -469,6 +469,7 @@
   std::optional<wire::CallReply> withdrawn;
   exchange.may_send = [this, &call, &withdrawn, checked_at = Now()] {
     withdrawn = this->RecheckBeforeSend(call, checked_at);
+    call.in_flight = !withdrawn;
     return !withdrawn;
   };
   exchange.cancel = &call.abort_exchange;
@@ -477,6 +478,7 @@
   exchange.response_room = &answer_room;
   auto answer = this->link.Send({backend.address}, out,
                                 remaining + kAnswerMargin, exchange);
+  call.in_flight = false;
   if (withdrawn) {
     return std::move(*withdrawn);
   }
@@ -485,16 +487,20 @@
   }
   switch (this->platform.ClassifyAnswer(*answer, request.attempt_id)) {
     case AnswerKind::kAnswered:
+      this->unobserved.OnAlive(call.backend, Now());
       return this->ToCallReply(std::move(*answer));
     case AnswerKind::kNotRun:
       return NotRun(Reason::kBackendRefused,
                     "the backend server did not run it");
     case AnswerKind::kWrongInstance:
-      this->OnBackendDied(call.instance);
-      this->events.Write("back end replaced", {{"id", request.attempt_id},
-                                               {"instance", call.instance}});
+      this->OnBackendDied(call.backend.instance);
+      this->events.Write(
+          "back end replaced",
+          {{"id", request.attempt_id}, {"instance", call.backend.instance}});
       return NotRun(Reason::kBackendRefused, "another instance answered");
     case AnswerKind::kInvalid:
+      this->unobserved.Add(call.backend, call.fingerprint, call.deadline,
+                           Now());
       break;
   }
   this->events.Write("answer spoilt",
@@ -516,17 +522,18 @@
     return NotRun(Reason::kDeadline, "the caller disconnected");
   }
   const bool same_backend =
-      this->life.known() && this->life.known()->instance == call.instance;
+      this->life.known() &&
+      this->life.known()->instance == call.backend.instance;
   if (!same_backend || !this->IsServing({request.service_name}, now)) {
     this->events.Write("send withdrawn", {{"id", request.attempt_id},
-                                          {"instance", call.instance},
+                                          {"instance", call.backend.instance},
                                           {"waited_ms", waited.count()}});
     return NotRun(Reason::kNoEndpoint, "the backend server left meanwhile");
   }
   if (const auto since_leave = this->life.TimeSinceLeave(now)) {
     this->events.Write("sent while leaving",
                        {{"id", request.attempt_id},
-                        {"instance", call.instance},
+                        {"instance", call.backend.instance},
                         {"since_leave_ms", since_leave->count()},
                         {"waited_ms", waited.count()}});
   }
@@ -549,20 +556,26 @@
 
 wire::CallReply BackendGateway::OnNoAnswer(Call& call, const HttpError& error) {
   const bool by_deadline = Now() >= call.deadline;
-  // This node closed the connection itself when the caller left, which says
-  // nothing about the backend server. A suspect is checked all the same.
-  const bool aborted =
-      this->aborting ||
-      (call.caller_left && call.request->idempotent && !call.leased);
-  if (!by_deadline && !aborted && !error.response_too_long) {
+  const bool caller_left =
+      call.caller_left && call.request->idempotent && !call.leased;
+  // Whether this node closed the connection itself. The backend server may
+  // still run the call then, and has shown no sign of its death.
+  const bool closed_here =
+      by_deadline || caller_left || this->aborting || error.response_too_long;
+  if (error.may_have_arrived) {
+    this->unobserved.Add(call.backend, call.fingerprint, call.deadline, Now());
+    call.may_run_on = closed_here;
+  }
+  if (!closed_here) {
     this->OnConnectionLost(call);
   }
   this->events.Write(
       "no answer",
       {{"id", call.request->attempt_id},
-       {"instance", call.instance},
+       {"instance", call.backend.instance},
        {"fingerprint", ToText(call.fingerprint)},
        {"may_have_run", std::int64_t{error.may_have_arrived}},
+       {"closed_here", std::int64_t{closed_here}},
        {"left_ms", duration_cast<milliseconds>(call.deadline - Now()).count()},
        {"error", error.text}});
   if (!error.may_have_arrived) {
@@ -581,8 +594,7 @@
 // Backend server --------------------------------------------------------------
 
 void BackendGateway::OnConnectionLost(const Call& call) {
-  this->lost_calls.push_back(
-      {call.fingerprint, call.instance, call.born_ms, Now(), call.leased});
+  this->lost_calls.push_back({call.backend, Now(), call.leased});
   const Instant until =
       Now() + (call.leased ? kMaxSuspectCheckWait : kMaxDeathCheckWait);
   const auto must_wait = [this, &call] {
@@ -614,36 +626,51 @@
     return lost.checks >= kDeathChecks ||
            now - lost.lost_at >= kLostCallRetention;
   });
-  const auto replaced = std::ranges::find_if(
-      this->lost_calls,
-      [this](const LostCall& lost) { return this->IsReplaced(lost); });
-  if (replaced != this->lost_calls.end()) {
+  if (const auto replaced = this->FindReplaced()) {
     this->ReportDeathOf(*replaced);
-  } else if (!this->lost_calls.empty() &&
-             (now >= this->next_death_check ||
-              (this->HasUncheckedSuspect() &&
-               now >= this->last_death_check + kDeathRecheckDelay))) {
-    const LostCall newest = this->lost_calls.back();
+  } else if (this->IsDeathCheckDue(now)) {
+    this->CheckListening(now);
+  }
+  this->checking_death = false;
+}
+
+bool BackendGateway::IsDeathCheckDue(Instant now) const {
+  if (this->lost_calls.empty()) {
+    const auto current = this->CurrentStart();
+    return current && this->unobserved.NeedsCheck(*current, now);
+  }
+  return now >= this->next_death_check ||
+         (this->HasUncheckedSuspect() &&
+          now >= this->last_death_check + kDeathRecheckDelay);
+}
+
+void BackendGateway::CheckListening(Instant now) {
+  const BackendStart checked = this->lost_calls.empty()
+                                   ? *this->CurrentStart()
+                                   : this->lost_calls.back().backend;
+  if (!this->lost_calls.empty()) {
     this->last_death_check = now;
     this->death_rechecked = !this->death_rechecked;
     this->next_death_check = now + (this->death_rechecked ? kDeathCheckInterval
                                                           : kDeathRecheckDelay);
-    const bool listening = this->HasListeningBackend();
-    this->events.Write(
-        "back end checked",
-        {{"instance", newest.instance},
-         {"listening", std::int64_t{listening}},
-         {"lost_calls", static_cast<std::int64_t>(this->lost_calls.size())}});
-    if (!listening) {
-      this->OnBackendDied(newest.instance);
-      this->death_rechecked = true;
-      this->ReportDeathOf(newest);
-    }
-    std::ranges::for_each(this->lost_calls, [now](LostCall& lost) {
-      lost.checks += lost.lost_at <= now ? 1 : 0;
-    });
   }
-  this->checking_death = false;
+  const bool listening = this->HasListeningBackend();
+  this->events.Write(
+      "back end checked",
+      {{"instance", checked.instance},
+       {"listening", std::int64_t{listening}},
+       {"lost_calls", static_cast<std::int64_t>(this->lost_calls.size())},
+       {"unobserved", static_cast<std::int64_t>(this->unobserved.size())}});
+  if (listening) {
+    this->unobserved.OnAlive(checked, now);
+  } else {
+    this->OnBackendDied(checked.instance);
+    this->death_rechecked = true;
+    this->ReportDeathOf(checked);
+  }
+  std::ranges::for_each(this->lost_calls, [now](LostCall& lost) {
+    lost.checks += lost.lost_at <= now ? 1 : 0;
+  });
 }
 
 void BackendGateway::OnBackendDied(const std::string& instance) {
@@ -661,33 +688,47 @@
          this->link.IsListening(BackendId{this->life.known()->address});
 }
 
-bool BackendGateway::IsReplaced(const LostCall& lost) const {
-  return this->life.known() && (this->life.known()->instance != lost.instance ||
-                                this->life.known()->born_ms != lost.born_ms);
+std::optional<BackendStart> BackendGateway::CurrentStart() const {
+  const auto& current = this->life.known();
+  return current
+             ? std::optional(BackendStart{current->instance, current->born_ms})
+             : std::nullopt;
 }
 
-// Reports all calls that ran at the same start of the backend server as `lost`.
-void BackendGateway::ReportDeathOf(LostCall lost) {
-  std::vector<Fingerprint> running;
+// A start with calls whose place another one has taken, if any.
+std::optional<BackendStart> BackendGateway::FindReplaced() const {
+  const auto current = this->CurrentStart();
+  if (!current) {
+    return std::nullopt;
+  }
+  const auto lost = std::ranges::find_if(
+      this->lost_calls,
+      [&current](const LostCall& each) { return each.backend != *current; });
+  return lost == this->lost_calls.end() ? this->unobserved.FindOther(*current)
+                                        : std::optional(lost->backend);
+}
+
+// Reports all calls that may have been running at this start of the backend
+// server.
+void BackendGateway::ReportDeathOf(BackendStart backend) {
+  std::vector<Fingerprint> running = this->unobserved.OnDied(backend);
   std::ranges::for_each(this->calls, [&](const auto& entry) {
-    if (entry.second->instance == lost.instance &&
-        entry.second->born_ms == lost.born_ms) {
+    if (entry.second->in_flight && entry.second->backend == backend) {
       running.push_back(entry.second->fingerprint);
     }
   });
-  std::erase_if(this->lost_calls, [&](const LostCall& each) {
-    const bool ran_there =
-        each.instance == lost.instance && each.born_ms == lost.born_ms;
-    if (ran_there) {
-      running.push_back(each.fingerprint);
-    }
-    return ran_there;
+  std::erase_if(this->lost_calls, [&backend](const LostCall& each) {
+    return each.backend == backend;
   });
+  const bool has_left = this->unobserved.HasLeft(backend);
   this->events.Write("back end died",
-                     {{"instance", lost.instance},
+                     {{"instance", backend.instance},
+                      {"after_leave", std::int64_t{has_left}},
                       {"running", static_cast<std::int64_t>(running.size())}});
-  this->suspects.ReportBackendDeath(
-      lost.instance + "#" + std::to_string(lost.born_ms), running);
+  if (!has_left && !running.empty()) {
+    this->suspects.ReportBackendDeath(
+        backend.instance + "#" + std::to_string(backend.born_ms), running);
+  }
 }
 
 HeartbeatVerdict BackendGateway::OnHeartbeat(const Heartbeat& heartbeat) {
@@ -729,6 +770,10 @@
 }
 
 bool BackendGateway::OnDeregistration(const std::string& instance) {
+  const auto current = this->CurrentStart();
+  if (current && current->instance == instance) {
+    this->unobserved.OnLeave(*current);
+  }
   return this->life.OnLeave(instance, Now());
 }
 
@@ -771,7 +816,7 @@
 void BackendGateway::OnTick() {
   NoteActivity("tick of the slots", "");
   const Instant now = Now();
-  if (!this->lost_calls.empty()) {
+  if (this->FindReplaced() || this->IsDeathCheckDue(now)) {
     this->loop.SpawnHere([this] { this->DetectBackendDeath(); });
   }
   this->ApplyActions(this->queue.OnTick(now));
--- a/src/sidecar/backend_gateway.h
+++ b/src/sidecar/backend_gateway.h
@@ -36,6 +36,7 @@
 #include "tanagerledge/dependency_throttle.h"
 #include "tanagerledge/slot_queue.h"
 #include "tanagerledge/stop_plan.h"
+#include "tanagerledge/unobserved_runs.h"
 #include "tanagerledge/work_times.h"
 
 namespace tanagerledge {
@@ -79,7 +80,7 @@
   std::string AwaitSendResult(const NodeId& from, std::string_view question);
 
   // Cancels a send whose caller has disconnected. A call that already runs at
-  // the backend server is aborted only if it is idempotent.
+  // the backend server is aborted only if it is idempotent and no suspect.
   void Cancel(const NodeId& from, std::int64_t send_id);
 
   // Records that a call which the backend server made while it ran attempt
@@ -159,18 +160,17 @@
     FiberPromise<SlotDecision> slot;
     // Set while the backend server runs the call.
     std::function<void()> abort_exchange;
-    // The start of the backend server that the call was sent to.
-    std::string instance;
-    std::int64_t born_ms = 0;
-    bool leased = false;  // Runs as a suspect.
+    BackendStart backend;    // That the call is sent to.
+    bool in_flight = false;  // Sent, and its connection is open.
+    bool leased = false;     // Runs as a suspect.
+    // This node closed its connection at the deadline, so it may still run.
+    bool may_run_on = false;
   };
   using CallPtr = std::shared_ptr<Call>;
-  // A call whose connection to the backend server was lost. It may be the cause
-  // if the backend server turns out to be dead.
+  // A call whose connection to the backend server was lost or refused, so the
+  // backend server may be dead.
   struct LostCall {
-    Fingerprint fingerprint;
-    std::string instance;
-    std::int64_t born_ms = 0;
+    BackendStart backend;
     Instant lost_at{};
     // Held a lease, which is given back once the checks have their result.
     bool leased = false;
@@ -193,8 +193,11 @@
   void OnBackendDied(const std::string& instance);
   bool HasListeningBackend();
   bool HasUncheckedSuspect() const;
-  bool IsReplaced(const LostCall& lost) const;
-  void ReportDeathOf(LostCall lost);
+  bool IsDeathCheckDue(Instant now) const;
+  void CheckListening(Instant now);
+  std::optional<BackendStart> CurrentStart() const;
+  std::optional<BackendStart> FindReplaced() const;
+  void ReportDeathOf(BackendStart backend);
   bool IsServing(const ServiceName& service, Instant now) const;
   CachedReply EncodeForPeer(wire::CallReply reply);
   wire::CallReply RejectAsLate();
@@ -229,6 +232,7 @@
   std::optional<StopPlan> stop;
   bool aborting = false;
   std::vector<LostCall> lost_calls;
+  UnobservedRuns unobserved;
   bool checking_death = false;
   Instant last_death_check{};
   Instant next_death_check{};
--- a/tests/sidecar/backend_gateway_test.cc
+++ b/tests/sidecar/backend_gateway_test.cc
@@ -102,7 +102,15 @@
   }
 
   wire::CallReply Call(const std::string& attempt_id) {
+    return this->Call(attempt_id, false);
+  }
+  wire::CallReply CallIdempotent(const std::string& attempt_id) {
+    return this->Call(attempt_id, true);
+  }
+
+  wire::CallReply Call(const std::string& attempt_id, bool idempotent) {
     wire::CallRequest request;
+    request.idempotent = idempotent;
     request.service_name = "claims";
     request.method = "POST";
     request.target = this->target;
@@ -114,6 +122,32 @@
     return this->gateway.Run({"peer"}, request);
   }
 
+  static Fingerprint CallFingerprint() {
+    return FingerprintOf({""}, "POST", "/x/1", "");
+  }
+
+  SuspectVerdict VerdictOfCall() {
+    const SuspectVerdict verdict =
+        this->suspects.Admit(CallFingerprint(), Now() + kCallTimeout / 4);
+    this->suspects.OnCallUnproven(CallFingerprint(), verdict);
+    return verdict;
+  }
+
+  // Ticks the gateway all the while, as its node does.
+  bool HasVerdictWithin(milliseconds timeout, SuspectVerdict awaited) {
+    constexpr milliseconds kTick{20};
+    const Instant end = Now() + timeout;
+    while (Now() < end && this->VerdictOfCall() != awaited) {
+      this->gateway.OnTick();
+      this->loop.SleepFor(kTick);
+    }
+    return this->VerdictOfCall() == awaited;
+  }
+
+  bool IsSuspectWithin(milliseconds timeout) {
+    return this->HasVerdictWithin(timeout, SuspectVerdict::kRunLeased);
+  }
+
   static void ExpectNotRun(const wire::CallReply& reply) {
     EXPECT_EQ(ToText(OutcomeOf(reply)), ToText(Outcome::kNotRun))
         << reply.detail;
@@ -386,6 +420,140 @@
       });
 }
 
+// Guards against a request that crashes one backend server after the other
+// since its callers have left by then.
+TEST_F(BackendGatewayTest, CallerLeavesBeforeTheCrash_RequestIsSuspected) {
+  this->RunWithBackend(
+      [](const HttpRequest&, int) {
+        return std::vector<Part>{{Success("a-1"), 2 * kCallTimeout}};
+      },
+      [&] {
+        boost::fibers::fiber call([&] { this->CallIdempotent("a-1"); });
+        this->loop.SleepFor(milliseconds(20));
+        this->gateway.Cancel({"peer"}, this->sends);
+        call.join();
+        this->loop.SleepFor(milliseconds(40));
+        this->backend->Close();
+        EXPECT_TRUE(this->IsSuspectWithin(kCallTimeout));
+      });
+}
+
+// The same for callers that stay and get the answer of the deadline.
+TEST_F(BackendGatewayTest, DeadlineBeforeTheCrash_RequestIsSuspected) {
+  this->RunWithBackend(
+      [](const HttpRequest&, int) {
+        return std::vector<Part>{{Success("a-1"), 3 * kCallTimeout}};
+      },
+      [&] {
+        EXPECT_EQ(ReasonOf(this->CallIdempotent("a-1")), Reason::kDeadline);
+        this->loop.SleepFor(milliseconds(40));
+        this->backend->Close();
+        EXPECT_TRUE(this->IsSuspectWithin(kCallTimeout));
+      });
+}
+
+// The same for an answer that can't be read, or was cut.
+TEST_F(BackendGatewayTest, ConnectionLostLongBeforeTheCrash_IsSuspected) {
+  this->RunWithBackend(
+      [](const HttpRequest&, int) {
+        return std::vector<Part>{{"HTTP/1.1 200 OK\r\n\0"}};
+      },
+      [&] {
+        boost::fibers::fiber call([&] { this->CallIdempotent("a-1"); });
+        this->loop.SleepFor(milliseconds(20));
+        this->backend->CloseConnections();
+        call.join();
+        this->loop.SleepFor(kCallTimeout / 2);
+        this->backend->Close();
+        EXPECT_TRUE(this->IsSuspectWithin(kCallTimeout));
+      });
+}
+
+// Another start in its place shows the death, too.
+TEST_F(BackendGatewayTest, CallerLeavesAndServerIsReplaced_IsSuspected) {
+  this->RunWithBackend(
+      [](const HttpRequest&, int) {
+        return std::vector<Part>{{Success("a-1"), 2 * kCallTimeout}};
+      },
+      [&] {
+        boost::fibers::fiber call([&] { this->CallIdempotent("a-1"); });
+        this->loop.SleepFor(milliseconds(20));
+        this->gateway.Cancel({"peer"}, this->sends);
+        call.join();
+        Heartbeat next = this->MakeHeartbeat("i-1");
+        next.born_ms += 2000;
+        this->gateway.OnHeartbeat(next);
+        EXPECT_TRUE(this->IsSuspectWithin(kCallTimeout));
+      });
+}
+
+// Guards against suspects that crash one backend server after the other, since
+// they are aborted and give their leases back before they do.
+TEST_F(BackendGatewayTest, CallerOfSuspectLeaves_SuspectRunsToItsEnd) {
+  this->RunWithBackend(
+      [](const HttpRequest& request, int) {
+        return std::vector<Part>{
+            {Success(std::string(request.Header("X-Attempt-Id"))),
+             kCallTimeout / 2}};
+      },
+      [&] {
+        this->suspects.ReportBackendDeath("i-0", {this->CallFingerprint()});
+        wire::CallReply reply;
+        boost::fibers::fiber call([&] { reply = this->CallIdempotent("a-1"); });
+        this->loop.SleepFor(kCallTimeout / 4);
+        this->gateway.Cancel({"peer"}, this->sends);
+        call.join();
+        ExpectRan(reply, "a-1");
+        EXPECT_EQ(this->VerdictOfCall(), SuspectVerdict::kRun);
+      });
+}
+
+TEST_F(BackendGatewayTest, SuspectRunsPastItsDeadline_NextOneWaits) {
+  this->RunWithBackend(
+      [](const HttpRequest&, int) {
+        return std::vector<Part>{{Success("a-1"), 3 * kCallTimeout}};
+      },
+      [&] {
+        this->suspects.ReportBackendDeath("i-0", {this->CallFingerprint()});
+        EXPECT_EQ(ReasonOf(this->CallIdempotent("a-1")), Reason::kDeadline);
+        EXPECT_EQ(this->suspects.Admit(this->CallFingerprint(),
+                                       Now() + kCallTimeout / 4),
+                  SuspectVerdict::kNoLease);
+        this->backend->Close();
+        EXPECT_TRUE(
+            this->HasVerdictWithin(kCallTimeout, SuspectVerdict::kRefuse));
+      });
+}
+
+// Guards against innocent requests that become suspects: a backend server that
+// has left exits on its own.
+TEST_F(BackendGatewayTest, CallerLeavesBeforeAPlannedExit_IsNotSuspected) {
+  this->RunWithBackend(
+      [](const HttpRequest&, int) {
+        return std::vector<Part>{{Success("a-1"), 2 * kCallTimeout}};
+      },
+      [&] {
+        boost::fibers::fiber call([&] { this->CallIdempotent("a-1"); });
+        this->loop.SleepFor(milliseconds(20));
+        this->gateway.Cancel({"peer"}, this->sends);
+        call.join();
+        this->gateway.OnDeregistration("i-1");
+        this->backend->Close();
+        EXPECT_FALSE(this->IsSuspectWithin(kCallTimeout));
+      });
+}
+
+// The same for a request that wasn't sent, as its connection was refused.
+TEST_F(BackendGatewayTest, ServerDiedBeforeTheCall_RequestIsNotSuspected) {
+  this->RunWithBackend(
+      [](const HttpRequest&, int) { return std::vector<Part>{}; },
+      [&] {
+        this->backend->Close();
+        ExpectNotRun(this->CallIdempotent("a-1"));
+        EXPECT_FALSE(this->IsSuspectWithin(kCallTimeout / 2));
+      });
+}
+
 // An error may be the answer of a run that its deadline, or a call of its own,
 // ended before it could crash the backend server.
 TEST_F(BackendGatewayTest, SuspectAnsweredWithServerError_StaysSuspect) {
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -368,7 +368,7 @@
                                                 const HttpRequest& request) {
     return this->OnLoop([&] {
       HttpClient client(this->fakes_loop, ParseAddress(address).value());
-      auto response = client.Send(request, kTimeout);
+      auto response = client.Send(request, this->caller_leaves_after);
       client.Close();
       return response;
     });
@@ -605,6 +605,7 @@
   StoreConnector connect_store = platform::ConnectStore;
   std::atomic<bool> store_is_silent{false};  // For nodes of StartSilenceable.
   std::vector<std::unique_ptr<Settings>> nodes;
+  milliseconds caller_leaves_after = kTimeout;
   std::vector<std::unique_ptr<Sidecar>> sidecars;
   milliseconds grace{1500};
   milliseconds heartbeat_period{1500};
@@ -1183,6 +1184,49 @@
   EXPECT_EQ(this->Crashes(), 2);
 }
 
+// Guards against a request that ends one backend server after the other, since
+// the connection to each is closed when its caller leaves.
+TEST_F(SidecarTest, CallersLeaveBeforeTheCrash_RequestCrashesAtMostTwo) {
+  std::vector<const Settings*> archives;
+  std::vector<TestBackend*> backends;
+  const auto start_backend = [&](std::size_t at) {
+    backends[at] = &this->AddBackend();
+    backends[at]->crash_after = milliseconds(200);
+    this->SendHeartbeat(*archives[at], *backends[at]);
+  };
+  for (std::size_t i = 0; i < 3; ++i) {
+    std::vector<NodeId> seeds;
+    if (!archives.empty()) {
+      seeds.push_back(archives.front()->address);
+    }
+    archives.push_back(&this->Start("archive", std::move(seeds)));
+    backends.push_back(nullptr);
+  }
+  this->Configure(1);
+  for (std::size_t i = 0; i < archives.size(); ++i) {
+    start_backend(i);
+  }
+  ASSERT_TRUE(this->Eventually([&] {
+    return std::ranges::all_of(archives, [&](const Settings* node) {
+      return this->Call(*node, "archive.example").status == 200;
+    });
+  }));
+  std::this_thread::sleep_for(seconds(1));  // All nodes know all endpoints.
+  for (int i = 0; i < 6; ++i) {
+    this->caller_leaves_after = milliseconds(100);
+    this->SendCrashing(*archives[0]);
+    this->caller_leaves_after = kTimeout;
+    std::this_thread::sleep_for(milliseconds(400));
+    for (std::size_t at = 0; at < backends.size(); ++at) {
+      if (backends[at]->crashes > 0) {
+        start_backend(at);
+      }
+    }
+    std::this_thread::sleep_for(milliseconds(400));
+  }
+  EXPECT_EQ(this->Crashes(), 2);
+}
+
 // A route may lead to another service, whose nodes got no broadcast.
 TEST_F(SidecarTest, RequestCrashedTwoBackends_OtherServiceDoesNotRunIt) {
   const Settings& claims = this->Start("claims");
