Late heartbeats no longer undo an acknowledged leave

Cause: BackendLife took three heartbeats in order of any start for a proof that it stays, on the assumption that no more than two arrive late. A slow link holds back any number and delivers them in order. Related: a health answer asked for before a leave undid it; with the clock set back, or after the leave message of a start never heard, one late heartbeat did; late heartbeats ended the leave of another start of the name.

Heartbeats undo a leave of their name only if they arrive over 10 s after it, a health answer only if it was asked for after it. A start that was replaced is an earlier one whatever its birth time, and a drain of a start that seems to be older puts the current one in doubt as well. A newcomer under a name that has left within 10 s needs a health check.

--- a/include/tanagerledge/backend_life.h
+++ b/include/tanagerledge/backend_life.h
@@ -20,9 +20,17 @@
 // so that no displacement lasts longer than that. After a heartbeat with a
 // sequence number that is far too high, three in order below it are accepted.
 //
+// Any number of heartbeats may arrive late, also in order, and those of a start
+// that the node has never heard of. So heartbeats can't undo a leave of the
+// same name that may be newer than they are: only those that arrive later than
+// max_heartbeat_delay after it were sent after it.
+//
 // The leave of another start of the same name (a foreign leave) may be true:
 // the current one may have died unnoticed. A health check that the current one
-// answers, or three of its heartbeats in order, end such a leave.
+// answers, or three of its heartbeats in order that were sent later, end such a
+// leave.
+//
+// docs/design/backend-proofs.md has the table of what overrules what.
 //
 // The class does no I/O and reads no clock: callers pass in heartbeats and the
 // current time.
@@ -68,6 +76,8 @@
   // three heartbeat intervals of the platform (1.5 s each), because a heartbeat
   // may be seconds late.
   std::chrono::milliseconds heartbeat_timeout{4500};
+  // Heartbeats arrive at most this long after they were sent.
+  std::chrono::milliseconds max_heartbeat_delay{10'000};
   // After a drain is acknowledged, calls are still sent for this long, so that
   // calls already on their way succeed. It is half of the platform's drain
   // limit of 2 s.
@@ -108,9 +118,12 @@
   // The current backend server in any state; unset before the first heartbeat.
   const std::optional<Heartbeat>& known() const { return this->current; }
   // The backend server that must be confirmed with OnConfirmed, if any. It is
-  // the current one after a foreign leave, otherwise a newcomer.
+  // the current one after a foreign leave, unless a newcomer was heard since.
   const std::optional<Heartbeat>& unconfirmed() const {
-    return this->has_foreign_leave() ? this->current : this->candidate;
+    const bool is_newcomer_heard =
+        this->candidate && this->candidate_heard > this->leave_time;
+    return this->has_foreign_leave() && !is_newcomer_heard ? this->current
+                                                           : this->candidate;
   }
   bool has_foreign_leave() const {
     return this->heartbeats_since_foreign_leave.has_value();
@@ -148,7 +161,7 @@
   }
   bool IsRetired(const Start& start) const;
   void Retire(const Start& start);
-  bool IsOlderStart(const Heartbeat& heartbeat) const;
+  bool IsEarlierStart(const Heartbeat& heartbeat) const;
   bool IsCurrent(const Heartbeat& heartbeat) const;
   bool IsAtCurrentPlace(const Heartbeat& heartbeat) const;
   bool IsAnsweredByCurrent(const Heartbeat& heartbeat, Instant now) const;
@@ -162,10 +175,16 @@
   void BeginLeave(Instant now, std::chrono::milliseconds grace);
   void BeginForeignLeave(Instant now, std::chrono::milliseconds doubt_time);
   void EndForeignLeave();
-  void CheckForeignLeave(const Heartbeat& heartbeat);
-  std::optional<Instant> LastUnknownLeave(const std::string& instance) const;
+  void CheckForeignLeave(const Heartbeat& heartbeat, Instant now);
+  void RecordLeave(const std::string& instance, Instant now);
+  std::optional<Instant> LastLeave(const std::string& instance) const;
+  bool IsOlderThanNode(const Heartbeat& heartbeat) const;
+  bool WasReplaced(const Start& start) const;
+  bool MayBeLate(const std::optional<Instant>& event, Instant arrived) const;
+  bool MayPrecedeLeave(const Heartbeat& heartbeat, Instant arrived) const;
 
   BackendLifeConfig config;
+  std::optional<Instant> first_heard;  // Time of the node's first heartbeat.
   std::optional<Heartbeat> current;
   Instant last_heartbeat{};
   // Heartbeats of the current start whose sequence numbers are too low.
@@ -183,13 +202,13 @@
   Instant candidate_heard{};  // Time of its last heartbeat.
   // Starts that have left. Their heartbeats are stale.
   std::deque<Start> retired;
-  // A leave of an instance that was unknown then. It has no birth time, so it
-  // can't tell apart several starts with the same instance name.
-  struct UnknownLeave {
+  std::deque<Start> former_starts;  // Starts that were the current one.
+  struct Leave {
     std::string instance;
     Instant at{};
   };
-  std::deque<UnknownLeave> unknown_leaves;
+  std::deque<Leave>
+      leaves;  // The last of each instance, the newest at the end.
 };
 
 }  // namespace tanagerledge
--- a/src/membership/backend_life.cc
+++ b/src/membership/backend_life.cc
@@ -11,8 +11,8 @@
 // The clock may be set back by seconds between the backend server's birth and
 // the node's start.
 constexpr std::int64_t kMaxClockStepMs = 5000;
-// This many heartbeats in order replace a health check. A backend server sends
-// no heartbeats after its leave, and delayed ones arrive singly.
+// This many heartbeats in order replace a health check: other writers send
+// single messages.
 constexpr int kHeartbeatsToConfirm = 3;
 // How long the current backend server stays ready after a foreign leave, so
 // that its answer to a health check can arrive.
@@ -32,11 +32,17 @@
 
 HeartbeatVerdict BackendLife::OnHeartbeat(const Heartbeat& heartbeat,
                                           Instant now) {
+  this->first_heard = this->first_heard.value_or(now);
   if (this->IsRetired(StartOf(heartbeat))) {
     return HeartbeatVerdict::kStale;
   }
   if (this->IsCurrent(heartbeat)) {
-    this->CheckForeignLeave(heartbeat);
+    this->CheckForeignLeave(heartbeat, now);
+  }
+  const bool is_known_to_leave = this->IsCurrent(heartbeat) &&
+                                 this->leave_time && !this->has_foreign_leave();
+  if (heartbeat.draining && !is_known_to_leave) {
+    this->RecordLeave(heartbeat.instance, now);
   }
   if (this->IsCurrent(heartbeat) &&
       (heartbeat.draining || this->IsAtCurrentPlace(heartbeat))) {
@@ -62,8 +68,8 @@
     this->BeginLeave(now, this->config.drain_grace_period);
     return HeartbeatVerdict::kChanged;
   }
-  // Late heartbeats arrive singly, so several in order mean that the known
-  // sequence number is too high.
+  // Several in order mean that the known sequence number is too high. Late ones
+  // of the same start do no harm: its leave stays.
   if (same_place &&
       this->low_heartbeats.Add(heartbeat.sequence) >= kHeartbeatsToConfirm) {
     return this->Adopt(heartbeat, now);
@@ -77,16 +83,19 @@
                                               Instant now) {
   const bool lives = this->State(now) == EndpointState::kReady;
   const bool same_name = this->current->instance == heartbeat.instance;
-  const bool is_older = this->IsOlderStart(heartbeat);
-  if (!lives && !is_older) {
+  const bool was_replaced = this->WasReplaced(StartOf(heartbeat));
+  if (!lives && !this->IsEarlierStart(heartbeat)) {
     return this->Adopt(heartbeat, now);
   }
   this->Retire(StartOf(heartbeat));
   if (this->IsCandidate(heartbeat)) {
     this->candidate.reset();
   }
-  if (lives && same_name && !is_older) {
-    this->BeginForeignLeave(now, kForeignLeaveCheckTime);
+  // The current start may have died before, and be seen again by a late
+  // heartbeat.
+  if (same_name && !was_replaced && (lives || !this->leave_time)) {
+    this->BeginForeignLeave(
+        now, lives ? kForeignLeaveCheckTime : std::chrono::milliseconds{0});
     return HeartbeatVerdict::kUnconfirmed;
   }
   // The start that took its name has sent a single message, perhaps from
@@ -100,9 +109,8 @@
 
 HeartbeatVerdict BackendLife::CheckCandidate(const Heartbeat& heartbeat,
                                              Instant now) {
-  // Late heartbeats of earlier starts arrive singly and are not worth a health
-  // check.
-  constexpr int kHeartbeatsToCheckOlderStart = 2;
+  // A single late heartbeat of an earlier start is not worth a health check.
+  constexpr int kHeartbeatsToCheckEarlierStart = 2;
   if (!this->IsCandidate(heartbeat) ||
       this->candidate->address != heartbeat.address ||
       this->candidate->service != heartbeat.service) {
@@ -115,11 +123,11 @@
   this->candidate = heartbeat;
   this->candidate_heard = now;
   if (in_order >= kHeartbeatsToConfirm &&
-      !this->LastUnknownLeave(heartbeat.instance)) {
+      !this->MayPrecedeLeave(heartbeat, now)) {
     return this->Adopt(heartbeat, now);
   }
-  const bool worth_a_check = !this->IsOlderStart(heartbeat) ||
-                             in_order >= kHeartbeatsToCheckOlderStart;
+  const bool worth_a_check = !this->IsEarlierStart(heartbeat) ||
+                             in_order >= kHeartbeatsToCheckEarlierStart;
   return worth_a_check ? HeartbeatVerdict::kUnconfirmed
                        : HeartbeatVerdict::kStale;
 }
@@ -152,9 +160,16 @@
 // Makes another start the current one. The previous one may come back unless it
 // has left.
 void BackendLife::ReplaceCurrent(const Heartbeat& heartbeat) {
-  if (this->current && this->leave_time &&
-      !this->heartbeats_since_foreign_leave) {
-    this->Retire(StartOf(*this->current));
+  std::erase(this->former_starts, StartOf(heartbeat));
+  if (this->current) {
+    const Start previous = StartOf(*this->current);
+    if (this->leave_time && !this->heartbeats_since_foreign_leave) {
+      this->Retire(previous);
+    }
+    this->former_starts.push_back(previous);
+    if (this->former_starts.size() > kMaxLeavesKept) {
+      this->former_starts.pop_front();
+    }
   }
   this->current = heartbeat;
   this->heartbeats = 0;
@@ -179,10 +194,11 @@
 // Ends a foreign leave once heartbeats of the current start, in order, prove
 // that it lives. Their sequence numbers may be below a known one that is too
 // high.
-void BackendLife::CheckForeignLeave(const Heartbeat& heartbeat) {
+void BackendLife::CheckForeignLeave(const Heartbeat& heartbeat, Instant now) {
   if (this->has_foreign_leave() && !heartbeat.draining &&
       this->heartbeats_since_foreign_leave->Add(heartbeat.sequence) >=
-          kHeartbeatsToConfirm) {
+          kHeartbeatsToConfirm &&
+      !this->MayPrecedeLeave(heartbeat, now)) {
     this->EndForeignLeave();
   }
 }
@@ -190,12 +206,13 @@
 bool BackendLife::OnConfirmed(const Heartbeat& heartbeat,
                               Instant asked_at,
                               Instant now) {
-  const auto last_leave = this->LastUnknownLeave(heartbeat.instance);
+  const auto last_leave = this->LastLeave(heartbeat.instance);
   const bool heard_from_current =
       this->current && !this->dead && this->last_heartbeat >= asked_at;
   const bool known =
       this->IsCurrent(heartbeat) && this->IsAtCurrentPlace(heartbeat);
-  if (known && this->has_foreign_leave() && asked_at >= *this->leave_time) {
+  if (known && this->has_foreign_leave() &&
+      asked_at >= last_leave.value_or(*this->leave_time)) {
     this->EndForeignLeave();
     return true;
   }
@@ -224,7 +241,9 @@
 }
 
 bool BackendLife::OnLeave(const std::string& instance, Instant now) {
-  if (this->current && this->current->instance == instance) {
+  const bool is_current = this->current && this->current->instance == instance;
+  this->RecordLeave(instance, now);
+  if (is_current) {
     this->BeginLeave(now, this->config.drain_grace_period);
     this->Retire(StartOf(*this->current));
     return true;
@@ -233,13 +252,19 @@
     this->Retire(StartOf(*this->candidate));
     this->candidate.reset();
   }
-  this->unknown_leaves.push_back({instance, now});
-  if (this->unknown_leaves.size() > kMaxLeavesKept) {
-    this->unknown_leaves.pop_front();
-  }
   return false;
 }
 
+void BackendLife::RecordLeave(const std::string& instance, Instant now) {
+  std::erase_if(this->leaves, [&instance](const Leave& leave) {
+    return leave.instance == instance;
+  });
+  this->leaves.push_back({instance, now});
+  if (this->leaves.size() > kMaxLeavesKept) {
+    this->leaves.pop_front();
+  }
+}
+
 // Handles a leave of the current start itself, which makes a foreign one final.
 // The first leave counts.
 void BackendLife::BeginLeave(Instant now, std::chrono::milliseconds grace) {
@@ -307,9 +332,17 @@
   }
 }
 
-// Starts are ordered by birth time, heartbeats of one start by sequence.
-bool BackendLife::IsOlderStart(const Heartbeat& heartbeat) const {
-  return this->current && heartbeat.born_ms < this->current->born_ms;
+// Starts are ordered by birth time, heartbeats of one start by sequence. The
+// clock may have been set back between two starts, so one that was the current
+// one before is an earlier start as well.
+bool BackendLife::IsEarlierStart(const Heartbeat& heartbeat) const {
+  return this->current && (heartbeat.born_ms < this->current->born_ms ||
+                           this->WasReplaced(StartOf(heartbeat)));
+}
+
+bool BackendLife::WasReplaced(const Start& start) const {
+  return std::ranges::find(this->former_starts, start) !=
+         this->former_starts.end();
 }
 
 bool BackendLife::IsCurrent(const Heartbeat& heartbeat) const {
@@ -344,23 +377,42 @@
   if (heartbeat.draining) {
     return false;
   }
-  const bool older_than_node =
-      this->config.node_started_ms &&
-      heartbeat.born_ms < *this->config.node_started_ms + kMaxClockStepMs;
-  const bool displaces_live = this->State(now) == EndpointState::kReady &&
-                              (this->current->instance != heartbeat.instance ||
-                               !this->IsAtCurrentPlace(heartbeat));
-  return older_than_node || displaces_live || this->IsOlderStart(heartbeat) ||
-         this->LastUnknownLeave(heartbeat.instance);
+  const bool live = this->State(now) == EndpointState::kReady;
+  const bool same_place = live &&
+                          this->current->instance == heartbeat.instance &&
+                          this->IsAtCurrentPlace(heartbeat);
+  // A newer start in the place of one that lived after the node's start.
+  const bool succeeds = same_place && !this->IsEarlierStart(heartbeat);
+  return (this->IsOlderThanNode(heartbeat) && !succeeds) ||
+         (live && !same_place) || this->IsEarlierStart(heartbeat) ||
+         this->MayBeLate(this->LastLeave(heartbeat.instance), now);
+}
+
+bool BackendLife::IsOlderThanNode(const Heartbeat& heartbeat) const {
+  return this->config.node_started_ms &&
+         heartbeat.born_ms < *this->config.node_started_ms + kMaxClockStepMs;
+}
+
+// Whether a heartbeat may have been sent before the event.
+bool BackendLife::MayBeLate(const std::optional<Instant>& event,
+                            Instant arrived) const {
+  return event && arrived - *event <= this->config.max_heartbeat_delay;
+}
+
+// Whether a heartbeat may have been sent before a leave of its name, which this
+// start of the node or an earlier one has acknowledged.
+bool BackendLife::MayPrecedeLeave(const Heartbeat& heartbeat,
+                                  Instant arrived) const {
+  return this->MayBeLate(this->LastLeave(heartbeat.instance), arrived) ||
+         (this->IsOlderThanNode(heartbeat) &&
+          this->MayBeLate(this->first_heard, arrived));
 }
 
-std::optional<Instant> BackendLife::LastUnknownLeave(
+std::optional<Instant> BackendLife::LastLeave(
     const std::string& instance) const {
-  const auto newest = std::ranges::find(this->unknown_leaves.rbegin(),
-                                        this->unknown_leaves.rend(), instance,
-                                        &UnknownLeave::instance);
-  return newest == this->unknown_leaves.rend() ? std::nullopt
-                                               : std::optional(newest->at);
+  const auto found =
+      std::ranges::find(this->leaves, instance, &Leave::instance);
+  return found == this->leaves.end() ? std::nullopt : std::optional(found->at);
 }
 
 }  // namespace tanagerledge
--- a/tests/sidecar/backend_gateway_test.cc
+++ b/tests/sidecar/backend_gateway_test.cc
@@ -332,6 +332,32 @@
   });
 }
 
+// A bad answer proves nothing: neither that the one asked about lives, nor that
+// the current one does not.
+TEST_F(BackendGatewayTest, HealthCheckFails_ChangesNothing) {
+  this->RunWithBackend(
+      [](const HttpRequest&, int) {
+        return std::vector<Part>{
+            {Answer("503 Service Unavailable\r\nX-Instance-Id: i-2", "")}};
+      },
+      [this] {
+        const Heartbeat other = this->MakeHeartbeat("i-2");
+        EXPECT_EQ(this->gateway.OnHeartbeat(other),
+                  HeartbeatVerdict::kUnconfirmed);
+        this->gateway.RunHealthCheck(other, "/health");
+        EXPECT_EQ(this->gateway.backend()->instance, "i-1");
+        EXPECT_TRUE(this->gateway.Serves({"claims"}));
+        this->gateway.OnDeregistration("i-1");
+        Heartbeat next = this->MakeHeartbeat("i-1");
+        next.born_ms += 2000;
+        EXPECT_EQ(this->gateway.OnHeartbeat(next),
+                  HeartbeatVerdict::kUnconfirmed);
+        this->gateway.RunHealthCheck(next, "/health");
+        EXPECT_EQ(this->gateway.backend()->born_ms, 1000);
+        EXPECT_EQ(this->gateway.BackendState(), EndpointState::kDraining);
+      });
+}
+
 TEST_F(BackendGatewayTest, HealthCheckSucceeds_BackendServesCalls) {
   this->backend = std::make_unique<ScriptedBackend>(
       this->loop, [](const HttpRequest& request, int) -> std::vector<Part> {
