Ignore the node's own record of a leave in doubt

Callers saw: an endpoint that lives was lost until its next start, after one message in its name that another start of it drains, if its health check failed for a moment.

Cause: while the message is in doubt, the node records the endpoint as draining. Each later read of the node list shows this record again, and Sidecar took it for the record of an earlier start of the node, which is final.

Change: only the first read of the list is asked for that record. NodeDirectory writes nothing before it.

--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -541,12 +541,24 @@
 
 // Fleet -----------------------------------------------------------------------
 
+void Sidecar::OnEarlierRecord(const wire::NodeRecord& record, bool ready) {
+  if (record.state == static_cast<std::int32_t>(EndpointState::kDraining)) {
+    this->gateway.OnLeftEarlier(HeartbeatOf(record));
+  } else if (ready) {
+    this->recorded_backend = HeartbeatOf(record);
+    this->ConfirmBackend();
+  }
+}
+
 void Sidecar::OnNodeList(const NodeDirectory::Records& records) {
   NoteActivity("node list", "");
   std::vector<NodeId> seeds;
   this->quotas.SetListedNodes(records.size());
   this->hints.clear();
   this->hints_until = Now() + kHintLifetime;
+  // Later lists have this node's own record, which may be of a leave in doubt.
+  const bool has_record_of_earlier_start =
+      !std::exchange(this->node_list_read, true);
   std::ranges::for_each(records, [&](const auto& listed) {
     const auto& [node, record] = listed;
     this->suspects.OnRecorded(QuarantinesOf(node, record));
@@ -555,11 +567,8 @@
         record.state == static_cast<std::int32_t>(EndpointState::kReady) ||
         record.state == static_cast<std::int32_t>(EndpointState::kWarming);
     if (node == this->settings.address) {
-      if (record.state == static_cast<std::int32_t>(EndpointState::kDraining)) {
-        this->gateway.OnLeftEarlier(HeartbeatOf(record));
-      } else if (ready && !this->recorded_backend) {
-        this->recorded_backend = HeartbeatOf(record);
-        this->ConfirmBackend();
+      if (has_record_of_earlier_start) {
+        this->OnEarlierRecord(record, ready);
       }
       return;
     }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -70,6 +70,8 @@
   void RunTicks();
   void MaybeReadNodeList(int ticks);
   void OnConfig(std::shared_ptr<const MeshConfig> next);
+  // Handles the record that an earlier start of this node has written.
+  void OnEarlierRecord(const wire::NodeRecord& record, bool ready);
   void OnNodeList(const NodeDirectory::Records& records);
   void ConfirmBackend();
   void UpdateEndpoints();
@@ -128,7 +130,8 @@
   std::optional<Heartbeat> recorded_backend;  // Recorded by the last start.
   bool checking_health = false;               // A health check is in progress.
   const Instant started;                      // For the uptime in log lines.
-  bool node_list_read_again = false;          // After the first read.
+  bool node_list_read = false;
+  bool node_list_read_again = false;  // After the first read.
   bool stopping = false;
   // Requests without an answer, except those whose caller has disconnected.
   std::uint64_t unanswered = 0;
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -1459,6 +1459,29 @@
   EXPECT_EQ(this->first_backend.began, began);
 }
 
+// Guards against a live server that is lost for good: while another start's
+// leave was in doubt, the node took its own record of it for that of an earlier
+// start.
+TEST_F(SidecarTest, LeaveInDoubtIsRecorded_LiveServerReturnsOnceConfirmed) {
+  const Settings& archive = this->Start("archive");
+  this->Configure(1);
+  this->SendHeartbeat(archive, this->first_backend);
+  ASSERT_TRUE(this->Eventually(
+      [&] { return this->Call(archive, "archive.example").status == 200; }));
+  this->first_backend.leaving = true;
+  this->backend_born += 1000;
+  this->SendHeartbeat(archive, this->first_backend, "draining");
+  // A node without peers reads the list every second or so.
+  std::this_thread::sleep_for(seconds(3));
+  EXPECT_EQ(this->Call(archive, "archive.example").status, 503);
+  this->first_backend.leaving = false;
+  this->backend_born -= 1000;
+  EXPECT_TRUE(this->Eventually([&] {
+    this->SendHeartbeat(archive, this->first_backend);
+    return this->Call(archive, "archive.example").status == 200;
+  }));
+}
+
 // Guards against a server that is lost until the node's next start (RECOVER),
 // after one heartbeat of a service that nobody names.
 TEST_F(SidecarTest, HeartbeatOfUnnamedService_LeavesBackendInPlace) {
