--- a/src/node/executor.cc
+++ b/src/node/executor.cc
@@ -18,9 +18,6 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-// How long calls whose connection was lost are kept: the death of a backend
-// server may be detected this long after it.
-constexpr std::chrono::seconds kLostCallRetention{5};
 // A dying process may close its connections before its listener, so a check
 // that finds it listening is repeated after this time.
 constexpr milliseconds kDeathRecheckDelay{20};
@@ -54,6 +51,8 @@
   Announcement backend;
   SuspectVerdict suspect = SuspectVerdict::kRun;
   FinishKind finish = FinishKind::kShed;
+  // This node closed its connection at the deadline, so it may still run.
+  bool may_run_on = false;
 };
 
 Executor::Executor(BackendWatch& backend_watch,
@@ -113,7 +112,7 @@
   auto suspect_refusal = this->RefuseSuspect(call);
   wire::CallReply reply =
       suspect_refusal ? std::move(*suspect_refusal) : this->RunOnce(link, call);
-  if (call.finish != FinishKind::kOk) {
+  if (call.finish != FinishKind::kOk && !call.may_run_on) {
     this->suspects.OnCallUnproven(call.fingerprint, call.suspect);
   }
   this->ReleaseSlot(call, call.finish);
@@ -196,14 +195,15 @@
   ExchangeOptions exchange;
   // A call that waits for a connection has not reached the backend server.
   exchange.may_send = [this, &call] {
-    this->TrackSentCall(call);
+    this->OnCallSent(call);
     return true;
   };
   exchange.allows_reuse = [](const HttpResponse& answer) {
     return !IsNotRun(answer);
   };
   const auto answer = link.Send(call.backend.backend, out, remaining, exchange);
-  this->UntrackSentCall(call, !answer && answer.error().may_have_arrived);
+  this->OnCallEnded(call, answer.has_value(),
+                    !answer && answer.error().may_have_arrived);
   if (!answer) {
     return this->OnNoAnswer(link, call, answer.error());
   }
@@ -249,6 +249,8 @@
   if (!listening) {
     this->OnDied(call.backend);
   }
+  call.may_run_on =
+      listening && error.may_have_arrived && Now() >= call.deadline;
   if (!error.may_have_arrived) {
     return MakeReply(Outcome::kNotRun, Reason::kBackendRefused,
                      "the back end could not be reached: " + error.text);
@@ -370,28 +372,27 @@
 
 // Deaths of the backend server ------------------------------------------------
 
-void Executor::TrackSentCall(const Call& call) {
+void Executor::OnCallSent(const Call& call) {
   const std::scoped_lock lock(this->sent_calls_mutex);
-  this->sent_calls[call.id] = {call.fingerprint, call.backend.instance, {}};
+  this->sent_calls[call.id] = {call.fingerprint, call.backend.instance};
 }
 
-void Executor::UntrackSentCall(const Call& call, bool connection_lost) {
+void Executor::OnCallEnded(const Call& call, bool answered, bool may_run_on) {
   const std::scoped_lock lock(this->sent_calls_mutex);
-  if (connection_lost) {
-    this->sent_calls[call.id].lost_at = Now();
-  } else {
-    this->sent_calls.erase(call.id);
+  this->sent_calls.erase(call.id);
+  const BackendStart backend{call.backend.instance, 0};
+  if (answered) {
+    this->unobserved.OnAlive(backend, Now());
+  } else if (may_run_on) {
+    this->unobserved.Add(backend, call.fingerprint, call.deadline, Now());
   }
-  const Instant oldest = Now() - kLostCallRetention;
-  std::erase_if(this->sent_calls, [oldest](const auto& entry) {
-    return entry.second.lost_at && *entry.second.lost_at < oldest;
-  });
 }
 
 void Executor::OnDied(const Announcement& backend) {
   std::vector<Fingerprint> running;
   {
     const std::scoped_lock lock(this->sent_calls_mutex);
+    running = this->unobserved.OnDied({backend.instance, 0});
     std::erase_if(this->sent_calls, [&](const auto& entry) {
       const bool was_running = entry.second.instance == backend.instance;
       if (was_running) {
--- a/src/node/executor.h
+++ b/src/node/executor.h
@@ -32,6 +32,7 @@
 #include "src/node/once_host.h"
 #include "src/node/suspect_host.h"
 #include "tanagerledge/admission.h"
+#include "tanagerledge/unobserved_runs.h"
 
 namespace tanagerledge {
 
@@ -58,13 +59,11 @@
   int calls_in_progress() const { return this->in_progress.load(); }
 
  private:
-  // A call that was sent to the backend server. If the backend server dies,
-  // this call may be the cause. It is kept until its answer comes or, if its
-  // connection is lost, for kLostCallRetention.
+  // A call that was sent to the backend server and has no answer yet. If the
+  // backend server dies, this call may be the cause.
   struct SentCall {
     Fingerprint fingerprint;
     std::string instance;
-    std::optional<Instant> lost_at;  // When the connection was lost.
   };
   struct Call;
   using Slot = std::shared_ptr<FiberPromise<Reason>>;
@@ -88,8 +87,8 @@
   template <typename Event>
   void WithAdmission(Event&& event);
   std::vector<SlotAnswer> TakeAnswers(const AdmissionActions& actions);
-  void TrackSentCall(const Call& call);
-  void UntrackSentCall(const Call& call, bool connection_lost);
+  void OnCallSent(const Call& call);
+  void OnCallEnded(const Call& call, bool answered, bool may_run_on);
   void OnDied(const Announcement& backend);
 
   BackendWatch& watch;
@@ -105,8 +104,9 @@
   AdmissionController admission;
   std::unordered_map<std::uint64_t, Slot> waiting;  // By id of the call.
 
-  std::mutex sent_calls_mutex;
+  std::mutex sent_calls_mutex;                             // Guards both.
   std::unordered_map<std::uint64_t, SentCall> sent_calls;  // By id of the call.
+  UnobservedRuns unobserved;
 };
 
 }  // namespace tanagerledge
--- a/tests/node/call_path_test.cc
+++ b/tests/node/call_path_test.cc
@@ -22,6 +22,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 constexpr std::string_view kNote = R"([note]
 base = 0
@@ -383,6 +384,63 @@
   loop.Join();
 }
 
+// Guards against a second run of a suspect while the first one, past its
+// deadline, may still crash the backend server.
+TEST_F(CallPathTest, SuspectRunsPastItsDeadline_NextOneWaits) {
+  using Parts = std::vector<ScriptedBackend::Part>;
+  std::atomic<int> runs{0};
+  IoLoop loop;
+  std::vector<std::unique_ptr<ScriptedBackend>> backends;
+  const auto serve = [&](const HttpRequest& request, int) -> Parts {
+    if (request.target != "/claim") {
+      return {{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}};
+    }
+    ++runs;
+    return {{"", seconds(10)}};
+  };
+  loop.Start();
+  this->mesh.Publish(kNote);
+  this->entry = this->mesh.AddNode({});
+  const auto announce = [&] {
+    backends.push_back(std::make_unique<ScriptedBackend>(loop, serve));
+    HttpRequest announcement;
+    announcement.method = "POST";
+    announcement.target = "/announce";
+    announcement.body =
+        nlohmann::json{
+            {"service", "claims"}, {"address", backends.back()->address()},
+            {"slots", 4},          {"connections", 8},
+            {"state", "ready"},    {"instance", backends.back()->address()}}
+            .dump();
+    ASSERT_EQ(
+        this->mesh.Send(this->mesh.admin_address(0), announcement)->status,
+        200);
+    ASSERT_TRUE(this->mesh.AwaitServed(this->entry, "/read"));
+  };
+  announce();
+  loop.Spawn([&, backend = backends.back().get()] {
+    while (runs == 0) {
+      loop.SleepFor(milliseconds(1));
+    }
+    backend->Close();
+  });
+  this->Call("POST", "/claim");
+  announce();
+  runs = 0;
+  this->Call("POST", "/claim");
+  EXPECT_EQ(runs, 1);
+  auto next = std::async(std::launch::async,
+                         [this] { return this->Call("POST", "/claim"); });
+  std::this_thread::sleep_for(seconds(1));
+  EXPECT_EQ(runs, 1);
+  next.wait();
+  loop.Spawn([&] {
+    backends.back()->Close();
+    loop.Stop();
+  });
+  loop.Join();
+}
+
 TEST_F(CallPathTest, NoRouteMatches_OutcomeIsNotRun) {
   this->StartServing();
   const HttpResponse response = this->Call("GET", "/elsewhere");
