--- a/include/tanagerledge/unobserved_runs.h
+++ b/include/tanagerledge/unobserved_runs.h
@@ -73,7 +73,6 @@
   // Whether to find out if the backend server still lives.
   bool NeedsCheck(const BackendStart& start, Instant now) const;
   bool HasLeft(const BackendStart& start) const;
-  bool empty() const;
   std::size_t size() const;
 
  private:
--- a/src/execution/unobserved_runs.cc
+++ b/src/execution/unobserved_runs.cc
@@ -80,11 +80,6 @@
   return runs != nullptr && runs->has_left;
 }
 
-bool UnobservedRuns::empty() const {
-  return std::ranges::all_of(this->starts, &decltype(Runs::ends)::empty,
-                             &Runs::ends);
-}
-
 std::size_t UnobservedRuns::size() const {
   return std::transform_reduce(
       this->starts.begin(), this->starts.end(), std::size_t{0}, std::plus<>(),
--- a/tests/execution/unobserved_runs_test.cc
+++ b/tests/execution/unobserved_runs_test.cc
@@ -33,7 +33,7 @@
   this->runs.Add(this->backend, {1}, this->now + seconds(1), this->now);
   EXPECT_EQ(this->runs.OnDied(this->backend), (std::vector<Fingerprint>{{1}}));
   EXPECT_TRUE(this->runs.OnDied(this->backend).empty());
-  EXPECT_TRUE(this->runs.empty());
+  EXPECT_EQ(this->runs.size(), 0u);
 }
 
 TEST_F(UnobservedRunsTest, AliveAfterAllWork_CallIsForgotten) {
@@ -42,7 +42,7 @@
   this->runs.OnAlive(this->backend, this->now - milliseconds(1));
   EXPECT_EQ(this->runs.size(), 1u);
   this->runs.OnAlive(this->backend, this->now);
-  EXPECT_TRUE(this->runs.empty());
+  EXPECT_EQ(this->runs.size(), 0u);
 }
 
 // The death may be noticed late, for instance by the heartbeat of the next
