Obey a drain after late heartbeats of the former start

Cause: three late heartbeats of the former start make it the current one while its successor is ready. If the successor then drains, BackendLife took that for a start that was replaced, and the acknowledged leave had no effect.

Change: a drain of any start of the current name puts the current one in doubt, which a health check resolves.

--- a/src/membership/backend_life.cc
+++ b/src/membership/backend_life.cc
@@ -83,7 +83,6 @@
                                               Instant now) {
   const bool lives = this->State(now) == EndpointState::kReady;
   const bool same_name = this->current->instance == heartbeat.instance;
-  const bool was_replaced = this->WasReplaced(StartOf(heartbeat));
   if (!lives && !this->IsEarlierStart(heartbeat)) {
     return this->Adopt(heartbeat, now);
   }
@@ -91,20 +90,18 @@
   if (this->IsCandidate(heartbeat)) {
     this->candidate.reset();
   }
-  // The current start may have died before, and be seen again by a late
-  // heartbeat.
-  if (same_name && !was_replaced && (lives || !this->leave_time)) {
-    this->BeginForeignLeave(
-        now, lives ? kForeignLeaveCheckTime : std::chrono::milliseconds{0});
-    return HeartbeatVerdict::kUnconfirmed;
-  }
-  // The start that took its name has sent a single message, perhaps from
-  // another writer.
-  if (lives && same_name && this->heartbeats <= 1) {
-    this->BeginForeignLeave(now, std::chrono::milliseconds{0});
-    return HeartbeatVerdict::kUnconfirmed;
+  if (!same_name || (!lives && this->leave_time)) {
+    return HeartbeatVerdict::kStale;
   }
-  return HeartbeatVerdict::kStale;
+  // A start that died may be seen again by a late heartbeat, and one that took
+  // the place of the draining one by a single message may be another writer's.
+  const bool is_in_doubt_already =
+      !lives ||
+      (this->WasReplaced(StartOf(heartbeat)) && this->heartbeats <= 1);
+  this->BeginForeignLeave(now, is_in_doubt_already
+                                   ? std::chrono::milliseconds{0}
+                                   : kForeignLeaveCheckTime);
+  return HeartbeatVerdict::kUnconfirmed;
 }
 
 HeartbeatVerdict BackendLife::CheckCandidate(const Heartbeat& heartbeat,
--- a/tests/membership/backend_life_test.cc
+++ b/tests/membership/backend_life_test.cc
@@ -533,6 +533,25 @@
   }
 }
 
+// Guards against a drain without effect, because late heartbeats of the former
+// start have taken the place of the draining one.
+TEST_F(BackendLifeTest, DrainsAfterLateHeartbeatsOfFormerStart_IsObeyed) {
+  for (const std::int64_t birth_ms : {9, 3}) {
+    this->life = BackendLife();
+    this->life.OnHeartbeat(this->MakeHeartbeat("i1", 5, 3), this->now);
+    this->life.OnDied("i1", this->now);
+    this->Deliver("i1", birth_ms, 1, 3);
+    ASSERT_EQ(this->life.known()->born_ms, birth_ms);
+    this->Deliver("i1", 5, 4, 9);
+    ASSERT_EQ(this->life.known()->born_ms, 5);
+    this->life.OnHeartbeat(this->MakeHeartbeat("i1", birth_ms, 4, true),
+                           this->now);
+    this->PassGracePeriod();
+    this->Deliver("i1", 5, 10, 15);
+    EXPECT_FALSE(this->MayRun());
+  }
+}
+
 // A leave that is newer than the question of a health check counts, even if the
 // leave before it is older.
 TEST_F(BackendLifeTest, SecondStartDrainsDuringCheck_LeaveStands) {
--- a/tests/membership/backend_proofs_property_test.cc
+++ b/tests/membership/backend_proofs_property_test.cc
@@ -49,12 +49,17 @@
     }
   }
 
+  // Delivers all delayed heartbeats in order, as a link that is sound again.
+  void DeliverAllLate() {
+    this->DropTooLate();
+    std::ranges::for_each(this->delayed, [this](const Delayed& each) {
+      this->Deliver(each.heartbeat);
+    });
+  }
+
   // Delivers a heartbeat that was sent a while ago; it may arrive twice.
   void DeliverLate(std::size_t which) {
-    std::erase_if(this->delayed, [this](const Delayed& each) {
-      return this->now - each.sent_at >=
-             BackendLifeConfig().max_heartbeat_delay;
-    });
+    this->DropTooLate();
     if (!this->delayed.empty()) {
       this->Deliver(this->delayed[which % this->delayed.size()].heartbeat);
     }
@@ -189,6 +194,13 @@
     return heartbeat;
   }
 
+  void DropTooLate() {
+    std::erase_if(this->delayed, [this](const Delayed& each) {
+      return this->now - each.sent_at >=
+             BackendLifeConfig().max_heartbeat_delay;
+    });
+  }
+
   void Deliver(const Heartbeat& heartbeat) {
     this->life.OnHeartbeat(heartbeat, this->Time());
   }
@@ -244,6 +256,8 @@
       machine.DelayHeartbeat();
       break;
     case 4:
+      machine.DeliverAllLate();
+      break;
     case 5:
     case 6:
       machine.DeliverLate(static_cast<std::size_t>(amount));
