--- a/include/tanagerledge/backend_life.h
+++ b/include/tanagerledge/backend_life.h
@@ -159,6 +159,10 @@
   static Start StartOf(const Heartbeat& heartbeat) {
     return {heartbeat.instance, heartbeat.born_ms};
   }
+  // Whether the current start itself has left, so that its leave is final.
+  bool is_current_leaving() const {
+    return this->leave_time.has_value() && !this->has_foreign_leave();
+  }
   bool IsRetired(const Start& start) const;
   void Retire(const Start& start);
   bool IsEarlierStart(const Heartbeat& heartbeat) const;
--- a/src/membership/backend_life.cc
+++ b/src/membership/backend_life.cc
@@ -39,9 +39,8 @@
   if (this->IsCurrent(heartbeat)) {
     this->CheckForeignLeave(heartbeat, now);
   }
-  const bool is_known_to_leave = this->IsCurrent(heartbeat) &&
-                                 this->leave_time && !this->has_foreign_leave();
-  if (heartbeat.draining && !is_known_to_leave) {
+  if (heartbeat.draining &&
+      !(this->IsCurrent(heartbeat) && this->is_current_leaving())) {
     this->RecordLeave(heartbeat.instance, now);
   }
   if (this->IsCurrent(heartbeat) &&
@@ -63,8 +62,7 @@
     return this->Adopt(heartbeat, now);
   }
   // Draining is final for a start, even if its heartbeats arrive out of order.
-  const bool is_known_to_leave = this->leave_time && !this->has_foreign_leave();
-  if (heartbeat.draining && !is_known_to_leave) {
+  if (heartbeat.draining && !this->is_current_leaving()) {
     this->BeginLeave(now, this->config.drain_grace_period);
     return HeartbeatVerdict::kChanged;
   }
@@ -160,7 +158,7 @@
   std::erase(this->former_starts, StartOf(heartbeat));
   if (this->current) {
     const Start previous = StartOf(*this->current);
-    if (this->leave_time && !this->heartbeats_since_foreign_leave) {
+    if (this->is_current_leaving()) {
       this->Retire(previous);
     }
     this->former_starts.push_back(previous);
@@ -368,7 +366,8 @@
 // Whether the backend server, which is not the current one, may have left
 // without this start of the node knowing its identity, or would displace one
 // that is newer or lives. A name belongs to one process at a time, so a newer
-// start of the current name at the same place takes its place at once.
+// start of the current name at the same place takes its place at once, unless
+// its heartbeat may be older than a leave of the name.
 bool BackendLife::NeedsConfirmation(const Heartbeat& heartbeat,
                                     Instant now) const {
   if (heartbeat.draining) {
