--- a/include/tanagerledge/backend_life.h
+++ b/include/tanagerledge/backend_life.h
@@ -148,23 +148,15 @@
     int length = 0;
   };
 
-  // Identifies one start of a backend server.
-  struct Start {
-    std::string instance;
-    std::int64_t born_ms = 0;
-
-    bool operator==(const Start&) const = default;
-  };
-
-  static Start StartOf(const Heartbeat& heartbeat) {
+  static BackendStart StartOf(const Heartbeat& heartbeat) {
     return {heartbeat.instance, heartbeat.born_ms};
   }
   // Whether the current start itself has left, so that its leave is final.
   bool is_current_leaving() const {
     return this->leave_time.has_value() && !this->has_foreign_leave();
   }
-  bool IsRetired(const Start& start) const;
-  void Retire(const Start& start);
+  bool IsRetired(const BackendStart& start) const;
+  void Retire(const BackendStart& start);
   bool IsEarlierStart(const Heartbeat& heartbeat) const;
   bool IsCurrent(const Heartbeat& heartbeat) const;
   bool IsAtCurrentPlace(const Heartbeat& heartbeat) const;
@@ -183,12 +175,14 @@
   void RecordLeave(const std::string& instance, Instant now);
   std::optional<Instant> LastLeave(const std::string& instance) const;
   bool IsOlderThanNode(const Heartbeat& heartbeat) const;
-  bool WasReplaced(const Start& start) const;
+  bool WasReplaced(const BackendStart& start) const;
   bool MayBeLate(const std::optional<Instant>& event, Instant arrived) const;
   bool MayPrecedeLeave(const Heartbeat& heartbeat, Instant arrived) const;
 
   BackendLifeConfig config;
-  std::optional<Instant> first_heard;  // Time of the node's first heartbeat.
+  // Time of the first heartbeat since the node's start. It stands for a leave
+  // that an earlier start of the node may have acknowledged.
+  std::optional<Instant> first_heard;
   std::optional<Heartbeat> current;
   Instant last_heartbeat{};
   // Heartbeats of the current start whose sequence numbers are too low.
@@ -205,14 +199,15 @@
   OrderedRun candidate_heartbeats;
   Instant candidate_heard{};  // Time of its last heartbeat.
   // Starts that have left. Their heartbeats are stale.
-  std::deque<Start> retired;
-  std::deque<Start> former_starts;  // Starts that were the current one.
+  std::deque<BackendStart> retired;
+  std::deque<BackendStart> former_starts;  // Starts that were the current one.
+  // Leaves are known by name: a leave message has no birth time, so it can't
+  // tell apart several starts with the same instance name.
   struct Leave {
     std::string instance;
     Instant at{};
   };
-  std::deque<Leave>
-      leaves;  // The last of each instance, the newest at the end.
+  std::deque<Leave> leaves;  // The last one of each name, oldest first.
 };
 
 }  // namespace tanagerledge
--- a/include/tanagerledge/types.h
+++ b/include/tanagerledge/types.h
@@ -76,6 +76,14 @@
 // Write counter of a backend server; later writes have greater marks.
 using WriteMark = Number<struct WriteMarkTag>;
 
+// Identifies one start of a backend server.
+struct BackendStart {
+  std::string instance;      // Usually unique to the start.
+  std::int64_t born_ms = 0;  // Unix time of the start.
+
+  bool operator==(const BackendStart&) const = default;
+};
+
 }  // namespace tanagerledge
 
 template <typename Tag>
--- a/include/tanagerledge/unobserved_runs.h
+++ b/include/tanagerledge/unobserved_runs.h
@@ -16,10 +16,8 @@
 
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <deque>
 #include <optional>
-#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -28,14 +26,6 @@
 
 namespace tanagerledge {
 
-// One start of a backend server.
-struct BackendStart {
-  std::string instance;
-  std::int64_t born_ms = 0;  // Unix time of the start.
-
-  bool operator==(const BackendStart&) const = default;
-};
-
 struct UnobservedRunsConfig {
   // How long a call may run past its deadline.
   std::chrono::milliseconds overrun = kMaxRunPastDeadline;
@@ -70,7 +60,8 @@
 
   // A start with calls that is not the current one, if any.
   std::optional<BackendStart> FindOther(const BackendStart& current) const;
-  // Whether to find out if the backend server still lives.
+  // Whether calls are remembered and the last sign of life is too old, so that
+  // the caller should check whether the backend server still lives.
   bool NeedsCheck(const BackendStart& start, Instant now) const;
   bool HasLeft(const BackendStart& start) const;
   std::size_t size() const;
@@ -80,7 +71,7 @@
     BackendStart start;
     Instant last_alive{};
     bool has_left = false;
-    // When each call has certainly ended.
+    // The time by which each call has ended.
     std::unordered_map<Fingerprint, Instant> ends;
   };
 
--- a/src/membership/backend_life.cc
+++ b/src/membership/backend_life.cc
@@ -11,8 +11,8 @@
 // The clock may be set back by seconds between the backend server's birth and
 // the node's start.
 constexpr std::int64_t kMaxClockStepMs = 5000;
-// This many heartbeats in order replace a health check: other writers send
-// single messages.
+// This many heartbeats in order replace a health check, since a single message
+// may be another writer's. They don't undo a leave; see MayPrecedeLeave.
 constexpr int kHeartbeatsToConfirm = 3;
 // How long the current backend server stays ready after a foreign leave, so
 // that its answer to a health check can arrive.
@@ -91,14 +91,14 @@
   if (!same_name || (!lives && this->leave_time)) {
     return HeartbeatVerdict::kStale;
   }
-  // A start that died may be seen again by a late heartbeat, and one that took
-  // the place of the draining one by a single message may be another writer's.
-  const bool is_in_doubt_already =
+  // If the current start is dead, a late heartbeat may make it ready again. If
+  // it has replaced the draining one with a single message, that may be another
+  // writer's. The leave counts at once in both cases.
+  const bool counts_at_once =
       !lives ||
       (this->WasReplaced(StartOf(heartbeat)) && this->heartbeats <= 1);
-  this->BeginForeignLeave(now, is_in_doubt_already
-                                   ? std::chrono::milliseconds{0}
-                                   : kForeignLeaveCheckTime);
+  this->BeginForeignLeave(now, counts_at_once ? std::chrono::milliseconds{0}
+                                              : kForeignLeaveCheckTime);
   return HeartbeatVerdict::kUnconfirmed;
 }
 
@@ -157,7 +157,7 @@
 void BackendLife::ReplaceCurrent(const Heartbeat& heartbeat) {
   std::erase(this->former_starts, StartOf(heartbeat));
   if (this->current) {
-    const Start previous = StartOf(*this->current);
+    const BackendStart previous = StartOf(*this->current);
     if (this->is_current_leaving()) {
       this->Retire(previous);
     }
@@ -314,11 +314,11 @@
   return state == EndpointState::kReady || now < this->grace_end;
 }
 
-bool BackendLife::IsRetired(const Start& start) const {
+bool BackendLife::IsRetired(const BackendStart& start) const {
   return std::ranges::find(this->retired, start) != this->retired.end();
 }
 
-void BackendLife::Retire(const Start& start) {
+void BackendLife::Retire(const BackendStart& start) {
   if (!this->IsRetired(start)) {
     this->retired.push_back(start);
   }
@@ -335,7 +335,7 @@
                            this->WasReplaced(StartOf(heartbeat)));
 }
 
-bool BackendLife::WasReplaced(const Start& start) const {
+bool BackendLife::WasReplaced(const BackendStart& start) const {
   return std::ranges::find(this->former_starts, start) !=
          this->former_starts.end();
 }
