--- a/tests/sidecar/backend_gateway_test.cc
+++ b/tests/sidecar/backend_gateway_test.cc
@@ -495,6 +495,38 @@
       });
 }
 
+// The same for an answer that isn't the backend server's, after which the node
+// closes the connection.
+TEST_F(BackendGatewayTest, SpoiltAnswerBeforeTheCrash_RequestIsSuspected) {
+  this->RunWithBackend(
+      [](const HttpRequest& request, int) {
+        const std::string id(request.Header("X-Attempt-Id"));
+        return std::vector<Part>{{Answer("200 OK", id, "no stamp")}};
+      },
+      [&] {
+        EXPECT_EQ(ReasonOf(this->CallIdempotent("a-1")),
+                  Reason::kConnectionLost);
+        this->loop.SleepFor(milliseconds(40));
+        this->backend->Close();
+        EXPECT_TRUE(this->IsSuspectWithin(kCallTimeout));
+      });
+}
+
+TEST_F(BackendGatewayTest, AnswerTooLongBeforeTheCrash_RequestIsSuspected) {
+  this->RunWithBackend(
+      [](const HttpRequest&, int) {
+        return std::vector<Part>{{"HTTP/1.1 200 OK\r\n\r\n"},
+                                 {std::string(64 * 1024, 'x'), {}, true}};
+      },
+      [&] {
+        EXPECT_EQ(ReasonOf(this->CallIdempotent("a-1")),
+                  Reason::kAnswerTooLong);
+        this->loop.SleepFor(milliseconds(40));
+        this->backend->Close();
+        EXPECT_TRUE(this->IsSuspectWithin(kCallTimeout));
+      });
+}
+
 // Another start in its place shows the death, too.
 TEST_F(BackendGatewayTest, CallerLeavesAndServerIsReplaced_IsSuspected) {
   this->RunWithBackend(
